--- /dev/null
+++ b/src/api/user_api.cc
@@ -0,0 +1,193 @@
+#include "api/user_api.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace hallpier::api {
+namespace {
+
+// Final states remembered, per megabyte of this machine: a few hundred bytes each.
+constexpr double kFinalsPerMb = 50;
+constexpr int kRetryS = 1;
+constexpr int kCasTries = 4;
+
+wire::HttpResponse Answer(int status, std::string body) {
+  return {.status = status, .body = std::move(body)};
+}
+
+wire::HttpResponse NotNow(std::string_view why) {
+  return {.status = 503, .body = wire::WriteError(why), .retry_after_s = kRetryS};
+}
+
+}  // namespace
+
+const store::FinalRecord* UserApi::Remembered(const std::string& id) const {
+  auto it = finals_.find(id);
+  return it == finals_.end() ? nullptr : &it->second;
+}
+
+void UserApi::Remember(const std::string& id, const store::FinalRecord& r) {
+  if (!finals_.emplace(id, r).second) return;
+  finals_order_.push_back(id);
+  if (static_cast<double>(finals_order_.size()) > kFinalsPerMb * d_.settings->memory_mb) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+rt::Task<UserApi::Found> UserApi::Lookup(std::string id) {
+  Found out;
+  if (const auto* r = Remembered(id)) {
+    out.kind = Found::Kind::kFinal;
+    out.final_record = *r;
+    co_return out;
+  }
+  // In this order: a job moves from active to final, never back.
+  auto active = co_await d_.client->Get(store::JobKey(id));
+  if (active.ok()) {
+    auto job = store::ReadJob(active.value.value);
+    if (!job) co_return out;
+    out.kind = Found::Kind::kActive;
+    out.job = std::move(*job);
+    out.stamp = active.value.stamp;
+    co_return out;
+  }
+  if (active.status != store::Status::kNotFound) co_return out;
+  auto final_entry = co_await d_.client->Get(store::FinalKey(id));
+  if (final_entry.ok()) {
+    auto r = store::ReadFinal(final_entry.value.value);
+    if (!r) co_return out;
+    Remember(id, *r);
+    out.kind = Found::Kind::kFinal;
+    out.final_record = *r;
+  } else if (final_entry.status == store::Status::kNotFound) {
+    out.kind = Found::Kind::kNever;
+  }
+  co_return out;
+}
+
+wire::HttpResponse UserApi::Status(const std::string& id, const Found& found) const {
+  if (found.kind == Found::Kind::kFinal) {
+    wire::JobStatus s;
+    s.id = id;
+    s.phase = found.final_record.phase;
+    s.done = found.final_record.done;
+    return Answer(200, wire::WriteStatus(s));
+  }
+  // Counts are for display and may lag; whether it is cancelled comes from the fresh read.
+  wire::JobStatus s;
+  s.id = id;
+  if (const jobs::Job* job = d_.ledger->Find(id)) s = job->Status();
+  if (found.job.cancelled) {
+    s.phase = wire::Phase::kCancelled;
+  } else if (s.phase == wire::Phase::kCancelled) {
+    s.phase = wire::Phase::kPending;
+  }
+  return Answer(200, wire::WriteStatus(s));
+}
+
+std::optional<wire::BadField> UserApi::NeverRuns(const wire::JobSpec& spec) const {
+  const config::Team* team = d_.settings->FindTeam(spec.team);
+  if (team == nullptr) return wire::BadField{"tenant", "unknown team"};
+  const bool fits = std::any_of(
+      d_.flavors->begin(), d_.flavors->end(), [&](const wire::Flavor& f) {
+        const bool listed =
+            spec.flavors.empty() ||
+            std::find(spec.flavors.begin(), spec.flavors.end(), f.name) != spec.flavors.end();
+        const bool there = spec.zone.empty() || f.zones.empty() ||
+                           std::find(f.zones.begin(), f.zones.end(), spec.zone) != f.zones.end();
+        return listed && there && spec.cpus <= f.cpus && spec.gpus <= f.gpus &&
+               spec.memory_gb <= f.memory_gb;
+      });
+  if (!fits) return wire::BadField{"flavors", "a task fits no allowed machine type"};
+  const double together = spec.shape == wire::Shape::kStanding ? spec.tasks : 1;
+  if ((team->cpus_max > 0 && together * spec.cpus > team->cpus_max) ||
+      (team->gpus_max > 0 && together * spec.gpus > team->gpus_max)) {
+    return wire::BadField{"pieces", "needs more than the team's limit"};
+  }
+  return std::nullopt;
+}
+
+rt::Task<wire::HttpResponse> UserApi::Submit(std::string body) {
+  auto doc = wire::ParseObject(body);
+  if (!doc) co_return Answer(400, wire::WriteError("not a JSON object"));
+  wire::BadField bad;
+  auto spec = wire::ReadJobSpec(*doc, &bad);
+  std::optional<wire::BadField> never;
+  if (spec && !d_.flavors->empty()) never = NeverRuns(*spec);
+  if (!spec || never) {
+    // Whoever was told "accepted" once must never be told anything worse, whatever came of the body
+    // or of the machine types since.
+    const std::string id = spec ? spec->id : wire::GetText(*doc, "id").value_or("");
+    if (wire::IsJobId(id)) {
+      Found found = co_await Lookup(id);
+      if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
+      if (found.kind != Found::Kind::kNever) co_return Status(id, found);
+    }
+    if (!spec) co_return Answer(400, wire::WriteError(bad.reason, bad.field));
+    co_return Answer(422, wire::WriteError(never->reason, never->field));
+  }
+  if (d_.flavors->empty()) co_return NotNow("machine types are not known yet");
+  const std::string id = spec->id;
+  if (Remembered(id) == nullptr && d_.ledger->Find(id) == nullptr) {
+    store::JobRecord record;
+    record.spec = std::move(*spec);
+    record.submitted = d_.time_of_day();
+    const std::string value = store::WriteJob(record);
+    if (static_cast<double>(value.size()) > d_.settings->value_kb * 1024) {
+      co_return Answer(400, wire::WriteError("lists more machine types than fit", "flavors"));
+    }
+    std::vector<wire::Guard> guards = {{store::JobKey(id), 0}, {store::FinalKey(id), 0}};
+    std::vector<wire::Write> writes = {{store::JobKey(id), value, 0}};
+    auto r = co_await d_.client->Txn(std::move(guards), std::move(writes));
+    if (r.ok()) {
+      d_.replica->Apply(store::JobKey(id), value, r.value.revision);
+      spdlog::info("job {} accepted: {} x {} cpus, team {}", id, record.spec.tasks,
+                   record.spec.cpus, record.spec.team);
+      co_return Answer(201, wire::WritePhase(id, wire::Phase::kPending));
+    }
+    if (r.status != store::Status::kConflict) co_return NotNow("the state service is not there");
+  }
+  Found found = co_await Lookup(id);
+  if (found.kind == Found::Kind::kActive || found.kind == Found::Kind::kFinal) {
+    co_return Status(id, found);
+  }
+  co_return NotNow("the state service is not there");
+}
+
+rt::Task<wire::HttpResponse> UserApi::Poll(std::string id) {
+  if (!wire::IsJobId(id)) co_return Answer(404, wire::WriteError("no such job"));
+  Found found = co_await Lookup(id);
+  if (found.kind == Found::Kind::kNever) co_return Answer(404, wire::WriteError("no such job"));
+  if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
+  co_return Status(id, found);
+}
+
+rt::Task<wire::HttpResponse> UserApi::Withdraw(std::string id) {
+  if (!wire::IsJobId(id)) co_return Answer(404, wire::WriteError("no such job"));
+  for (int attempt = 0; attempt < kCasTries; ++attempt) {
+    Found found = co_await Lookup(id);
+    if (found.kind == Found::Kind::kNever) co_return Answer(404, wire::WriteError("no such job"));
+    if (found.kind == Found::Kind::kUnknown) break;
+    if (found.kind == Found::Kind::kFinal) {
+      co_return Answer(200, wire::WritePhase(id, found.final_record.phase));
+    }
+    if (found.job.cancelled) co_return Answer(200, wire::WritePhase(id, wire::Phase::kCancelled));
+    found.job.cancelled = true;
+    const std::string key = store::JobKey(id);
+    const std::string value = store::WriteJob(found.job);
+    std::vector<wire::Guard> guards = {{key, found.stamp}};
+    std::vector<wire::Write> writes = {{key, value, 0}};
+    auto r = co_await d_.client->Txn(std::move(guards), std::move(writes), store::Urgent::kYes);
+    if (r.ok()) {
+      d_.replica->Apply(key, value, r.value.revision);
+      spdlog::info("job {} cancelled", id);
+      co_return Answer(200, wire::WritePhase(id, wire::Phase::kCancelled));
+    }
+    if (r.status != store::Status::kConflict) break;
+  }
+  co_return NotNow("the state service is not there");
+}
+
+}  // namespace hallpier::api
--- /dev/null
+++ b/src/api/user_api.h
@@ -0,0 +1,56 @@
+// What users ask: submissions, polls, withdrawals. Every node answers, from the state service.
+//
+// Nothing that a node has told may be taken back by another: accepted, done and cancelled are told
+// only after they are recorded, and only a final state is ever answered from memory.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "config/settings.h"
+#include "jobs/ledger.h"
+#include "net/http_server.h"
+#include "store/client.h"
+#include "store/replica.h"
+
+namespace hallpier::api {
+
+class UserApi {
+ public:
+  struct Deps {
+    const config::Settings* settings;
+    store::Client* client;
+    store::Replica* replica;
+    const jobs::Ledger* ledger;
+    const std::vector<wire::Flavor>* flavors;  // empty: not known yet
+    std::function<double()> time_of_day;
+  };
+  explicit UserApi(Deps deps) : d_(std::move(deps)) {}
+
+  rt::Task<wire::HttpResponse> Submit(std::string body);
+  rt::Task<wire::HttpResponse> Poll(std::string id);
+  rt::Task<wire::HttpResponse> Withdraw(std::string id);
+
+ private:
+  struct Found {
+    enum class Kind { kActive, kFinal, kNever, kUnknown } kind = Kind::kUnknown;
+    store::JobRecord job;
+    uint64_t stamp = 0;
+    store::FinalRecord final_record;
+  };
+  // Reads the job's state afresh.
+  rt::Task<Found> Lookup(std::string id);
+  wire::HttpResponse Status(const std::string& id, const Found& found) const;
+  const store::FinalRecord* Remembered(const std::string& id) const;
+  void Remember(const std::string& id, const store::FinalRecord& r);
+  // Why the job can never run; nothing if it can.
+  std::optional<wire::BadField> NeverRuns(const wire::JobSpec& spec) const;
+
+  Deps d_;
+  std::unordered_map<std::string, store::FinalRecord> finals_;
+  std::deque<std::string> finals_order_;
+};
+
+}  // namespace hallpier::api
--- /dev/null
+++ b/src/app/controller.cc
@@ -0,0 +1,159 @@
+#include "app/controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace hallpier::app {
+namespace {
+
+constexpr size_t kMaxRequestBody = 64 * 1024;
+// The largest answer of the state service that is read, as a part of this machine's memory.
+constexpr double kBodyShare = 1.0 / 8;
+// Connections that a node takes in, as a part of its sockets; the rest is for its own calls.
+constexpr double kServerSockets = 0.8;
+constexpr double kStateTimeoutS = 1.0;
+
+double TimeOfDay() {
+  using std::chrono::duration;
+  return duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+store::Client::Options StateOptions(const config::Settings& s) {
+  store::Client::Options o;
+  o.endpoint = s.state;
+  o.rps = s.state_rps;
+  o.write_rps = s.state_write_rps;
+  o.size = s.size;
+  o.timeout_s = kStateTimeoutS;
+  o.max_body = static_cast<size_t>(s.memory_mb * kBodyShare * 1024 * 1024);
+  return o;
+}
+
+}  // namespace
+
+Controller::Controller(rt::Loop& loop, config::Settings settings, config::Operator operators)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      operators_(operators),
+      root_(loop),
+      ending_(loop),
+      ledger_(store::TasksPerShard(settings_.value_kb)),
+      client_(root_, StateOptions(settings_)),
+      replica_(root_, client_, settings_.report_s,
+               [this](const std::string& key, const std::string& value) { OnState(key, value); }),
+      leadership_(root_, settings_, operators_, client_, replica_,
+                  [this](rt::Scope& term) { duties_.Begin(term); }),
+      duties_({&settings_, &operators_, &client_, &replica_, &ledger_, &flavors_, &leadership_}),
+      users_({&settings_, &client_, &replica_, &ledger_, &flavors_, TimeOfDay}),
+      server_(root_,
+              {static_cast<size_t>(settings_.max_sockets * kServerSockets), kMaxRequestBody,
+               settings_.lease_s * 4, settings_.report_s * 3},
+              [this](wire::HttpRequest r) { return Handle(std::move(r)); }) {}
+
+bool Controller::Start(std::string* error) {
+  if (!server_.Listen(settings_.listen, error)) return false;
+  root_.Spawn(replica_.Run());
+  root_.Spawn(leadership_.Run());
+  spdlog::info("{} listens on {}", settings_.node, settings_.listen);
+  return true;
+}
+
+rt::Task<> Controller::Drain() {
+  co_await root_.Join();
+  loop_.Stop();
+}
+
+void Controller::Shutdown() {
+  if (root_.cancelled()) return;
+  root_.Cancel();
+  ending_.Spawn(Drain());
+}
+
+void Controller::OnState(const std::string& key, const std::string& value) {
+  const store::ParsedKey parsed = store::ParseKey(key);
+  switch (parsed.kind) {
+    case store::KeyKind::kLeader:
+      leadership_.OnRecord(value);
+      break;
+    case store::KeyKind::kFlavors: {
+      auto doc = wire::ParseObject(value);
+      auto flavors = doc ? wire::ReadFlavors(*doc) : std::nullopt;
+      if (flavors) flavors_ = std::move(*flavors);
+      break;
+    }
+    case store::KeyKind::kJob:
+      ledger_.Apply(parsed, value);
+      duties_.OnJobChanged(parsed.job);
+      break;
+    case store::KeyKind::kShard:
+      ledger_.Apply(parsed, value);
+      break;
+    case store::KeyKind::kBlock:
+    case store::KeyKind::kOther:
+      break;
+  }
+}
+
+wire::HttpResponse Controller::Checkin(const std::string& body) {
+  if (!leadership_.leading()) {
+    const std::string leader = leadership_.leader();
+    if (leader.empty() || leader == settings_.node) {
+      return {.status = 503, .body = wire::WriteError("nobody leads"), .retry_after_s = 1};
+    }
+    return {.status = 421, .body = wire::WriteRedirect(leader)};
+  }
+  if (!leadership_.Entitled()) {
+    return {.status = 503, .body = wire::WriteError("not entitled to act"), .retry_after_s = 1};
+  }
+  auto report = wire::ReadReport(body);
+  if (!report) {
+    spdlog::warn("a worker's report can't be read: {} bytes", body.size());
+    return {.status = 400, .body = wire::WriteError("not a report")};
+  }
+  return duties_.OnCheckin(*report);
+}
+
+rt::Task<wire::HttpResponse> Controller::Handle(wire::HttpRequest request) {
+  const std::string path(request.path());
+  const bool get = request.method == "GET", post = request.method == "POST";
+  constexpr std::string_view kJobs = "/submissions";
+  constexpr std::string_view kWithdraw = "/withdraw";
+  bool known = false;
+  if (path == "/checkin") {
+    if (post) co_return Checkin(request.body);
+    known = true;
+  } else if (path == "/ready") {
+    if (get) {
+      const bool ready = replica_.loaded();
+      co_return wire::HttpResponse{.status = ready ? 200 : 503, .body = "{}"};
+    }
+    known = true;
+  } else if (path == kJobs) {
+    if (post) {
+      wire::HttpResponse r = co_await users_.Submit(std::move(request.body));
+      co_return r;
+    }
+    known = true;
+  } else if (path.starts_with("/submissions/")) {
+    std::string id = path.substr(kJobs.size() + 1);
+    if (id.ends_with(kWithdraw)) {
+      id.resize(id.size() - kWithdraw.size());
+      if (post) {
+        wire::HttpResponse r = co_await users_.Withdraw(std::move(id));
+        co_return r;
+      }
+      known = true;
+    } else if (id.find('/') == std::string::npos) {
+      if (get) {
+        wire::HttpResponse r = co_await users_.Poll(std::move(id));
+        co_return r;
+      }
+      known = true;
+    }
+  }
+  if (known) co_return wire::HttpResponse{.status = 405, .body = wire::WriteError("method")};
+  co_return wire::HttpResponse{.status = 404, .body = wire::WriteError("no such path")};
+}
+
+}  // namespace hallpier::app
--- /dev/null
+++ b/src/app/controller.h
@@ -0,0 +1,47 @@
+// One controller node: wires the packages together and answers requests.
+#pragma once
+
+#include <string>
+
+#include "api/user_api.h"
+#include "app/duties.h"
+#include "config/settings.h"
+#include "lead/leadership.h"
+#include "net/http_server.h"
+#include "rt/loop.h"
+#include "store/client.h"
+#include "store/replica.h"
+
+namespace hallpier::app {
+
+class Controller {
+ public:
+  Controller(rt::Loop& loop, config::Settings settings, config::Operator operators);
+
+  // False, with a reason, if it can't listen.
+  bool Start(std::string* error);
+  // Ends every routine in order, then stops the loop.
+  void Shutdown();
+
+ private:
+  rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
+  wire::HttpResponse Checkin(const std::string& body);
+  void OnState(const std::string& key, const std::string& value);
+  rt::Task<> Drain();
+
+  rt::Loop& loop_;
+  const config::Settings settings_;
+  const config::Operator operators_;
+  rt::Scope root_;
+  rt::Scope ending_;
+  jobs::Ledger ledger_;
+  std::vector<wire::Flavor> flavors_;
+  store::Client client_;
+  store::Replica replica_;
+  lead::Leadership leadership_;
+  Duties duties_;
+  api::UserApi users_;
+  net::HttpServer server_;
+};
+
+}  // namespace hallpier::app
--- /dev/null
+++ b/src/app/duties.cc
@@ -0,0 +1,327 @@
+#include "app/duties.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace hallpier::app {
+namespace {
+
+// Rounds that something new calls for come at least this part of a report period apart...
+constexpr double kRoundGap = 1.0 / 12;
+// ...and leave this many times their own length to everything else.
+constexpr double kRoundRest = 5;
+// A direct command is given up after this part of a report period: the next report is better.
+constexpr double kTellRatio = 0.9;
+constexpr double kCloudTimeoutS = 5;
+// Part of the cloud's request limit that the regular listing may use.
+constexpr double kListShare = 0.2;
+// Machine types are asked for anew after this many report periods.
+constexpr double kFlavorReports = 20;
+constexpr size_t kReturnsPerCall = 100;
+// Who hears too few workers leaves the lead to another for this part of their lease.
+constexpr double kResignRatio = 1.0;
+constexpr size_t kMaxWorkerBody = 256 * 1024;
+constexpr size_t kMaxCloudBody = 1024 * 1024;
+
+}  // namespace
+
+Duties::Duties(Deps deps)
+    : d_(deps),
+      roster_({d_.settings->report_s, d_.settings->lease_s, d_.settings->list_lag_s,
+               d_.operators->silent_ratio}),
+      renter_(*d_.settings, *d_.operators),
+      workers_(1, kMaxWorkerBody),
+      cloud_(2, kMaxCloudBody),
+      cloud_budget_(d_.settings->cloud_rps * 0.8, 2.0, 0) {
+  context_.settings = d_.settings;
+  context_.operators = d_.operators;
+}
+
+void Duties::Begin(rt::Scope& term) {
+  term_ = &term;
+  roster_.BeginTerm(d_.leadership->token(), term.loop().Now(), d_.leadership->others_until());
+  context_.flavors = *d_.flavors;
+  told_.clear();
+  to_tell_.clear();
+  wants_.clear();
+  flavors_at_ = -1;
+  term.Spawn(RoundLoop(term));
+  term.Spawn(CloudLoop(term));
+}
+
+void Duties::OnJobChanged(const std::string& id) {
+  if (!d_.leadership->leading() || term_ == nullptr) return;
+  const jobs::Job* job = d_.ledger->Find(id);
+  if (job != nullptr && job->cancelled) {
+    for (const auto& [number, shard] : job->shards) {
+      for (const auto& [index, task] : shard.open) {
+        if (!task.machine.empty()) Tell(*term_, task.machine);
+      }
+    }
+  }
+  work_waits_ = true;
+  work_.Notify();
+}
+
+wire::HttpResponse Duties::OnCheckin(const wire::Report& report) {
+  if (report.token > roster_.token()) {
+    d_.leadership->Superseded(report.token);
+    return {.status = 421, .body = wire::WriteRedirect("")};
+  }
+  const double now = term_->loop().Now();
+  if (roster_.OnReport(report, now, false)) {
+    work_waits_ = true;
+    work_.Notify();
+  }
+  fleet::Machine* m = roster_.Find(report.machine);
+  std::vector<wire::Order> orders;
+  const bool newest = m->tenure == report.tenure && m->tick == report.tick;
+  if (newest) orders = roster_.Orders(*m, *d_.ledger, false);
+  // Counted before the answer goes out: the lease may be renewed from here on.
+  roster_.OnAnswered(report.machine, now);
+  return {.status = 200, .body = wire::WriteCheckinAnswer(roster_.token(), orders)};
+}
+
+rt::Task<> Duties::RoundLoop(rt::Scope& term) {
+  while (!term.cancelled()) {
+    const double gap =
+        std::clamp(kRoundRest * round_took_, kRoundGap * d_.settings->report_s,
+                   std::max(d_.operators->round_s, kRoundGap * d_.settings->report_s));
+    rt::Sleep rest(term, gap);
+    co_await rest;
+    if (!work_waits_) {
+      auto wait = work_.Await(term, std::max(0.0, d_.operators->round_s - gap));
+      co_await wait;
+    }
+    if (term.cancelled()) break;
+    work_waits_ = false;
+    co_await Round(term);
+  }
+}
+
+rt::Task<> Duties::Round(rt::Scope& term) {
+  if (roster_.NeedsFence(*d_.ledger)) {
+    bool fenced = co_await d_.leadership->Fence();
+    if (fenced) roster_.SetToken(d_.leadership->token());
+  }
+  // What has ended first: it makes room.
+  auto outcomes = roster_.Collect(*d_.ledger, term.loop().Now());
+  bool written = co_await Commit(term, std::move(outcomes));
+  if (!written || term.cancelled()) co_return;
+  const double begin = term.loop().Now();
+  plan::RoundResult plan = plan::PlanRound(context_, *d_.ledger, roster_, begin);
+  round_took_ = term.loop().Now() - begin;
+  wants_ = std::move(plan.wants);
+  if (!plan.places.empty() || !plan.preemptions.empty()) {
+    spdlog::info("round: {} waiting, {} placed, {} stopped for others, {:.1f} ms", plan.waiting,
+                 plan.places.size(), plan.preemptions.size(), round_took_ * 1000);
+  }
+  for (const plan::Preemption& p : plan.preemptions) {
+    roster_.Stop(p.task, p.attempt, p.grace_s);
+    for (const auto& [name, m] : roster_.all()) {
+      if (d_.ledger->On(name).contains(p.task)) Tell(term, name);
+    }
+  }
+  if (!plan.places.empty()) {
+    bool placed = co_await Commit(term, std::move(plan.places));
+    (void)placed;
+  }
+}
+
+rt::Task<bool> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
+  jobs::BatchLimits limits;
+  limits.ops = d_.settings->txn_ops;
+  limits.block_key = store::BlockKey(0);
+  limits.token = d_.leadership->token();
+  auto stamp = [this](const std::string& key) { return d_.replica->Stamp(key); };
+  auto txns = jobs::BuildTxns(*d_.ledger, mutations, limits, stamp);
+  for (jobs::Txn& t : txns) {
+    const auto writes = t.writes;
+    auto r = co_await d_.client->Txn(std::move(t.guards), std::move(t.writes),
+                                     t.urgent ? store::Urgent::kYes : store::Urgent::kNo);
+    if (term.cancelled()) co_return false;
+    if (!r.ok()) {
+      // Lost or late: the watch tells what became of it, and the next round starts from there.
+      spdlog::info("commit of {} writes failed ({})", writes.size(), static_cast<int>(r.status));
+      co_return false;
+    }
+    for (const wire::Write& w : writes) d_.replica->Apply(w.key, w.value, r.value.revision);
+    std::set<std::string> machines(t.machines.begin(), t.machines.end());
+    for (const auto& m : machines) Tell(term, m);
+  }
+  co_return true;
+}
+
+void Duties::Tell(rt::Scope& term, const std::string& machine) {
+  if (!told_.insert(machine).second) {
+    to_tell_.insert(machine);
+    return;
+  }
+  term.Spawn(TellLoop(term, machine));
+}
+
+rt::Task<> Duties::TellLoop(rt::Scope& term, std::string machine) {
+  do {
+    to_tell_.erase(machine);
+    fleet::Machine* m = roster_.Find(machine);
+    if (m == nullptr || m->endpoint.empty() || !m->reported() || !d_.leadership->Entitled()) break;
+    const uint64_t token = roster_.token();
+    auto orders = roster_.Orders(*m, *d_.ledger, true);
+    wire::HttpRequest q{.method = "POST",
+                        .target = "/commands",
+                        .body = wire::WriteCommands(token, m->tenure, orders)};
+    auto r = co_await workers_.Call(term, m->endpoint, std::move(q),
+                                    kTellRatio * d_.settings->report_s, false);
+    const bool answered = r && (r->status == 200 || r->status == 409);
+    if (answered) {
+      auto report = wire::ReadReport(r->body);
+      if (report && report->token > token) d_.leadership->Superseded(report->token);
+      if (report && roster_.OnReport(*report, term.loop().Now(), true)) {
+        work_waits_ = true;
+        work_.Notify();
+      }
+    }
+    roster_.FinishDirect(machine, orders, token, answered);
+  } while (!term.cancelled() && to_tell_.contains(machine));
+  told_.erase(machine);
+}
+
+rt::Task<std::optional<wire::HttpResponse>> Duties::CallCloud(rt::Scope& term,
+                                                              wire::HttpRequest request) {
+  const double wait = cloud_budget_.Take(term.loop().Now(), 1, store::Urgent::kYes, kCloudTimeoutS);
+  if (wait < 0) co_return std::nullopt;
+  if (wait > 0) {
+    rt::Sleep pause(term, wait);
+    co_await pause;
+  }
+  const bool repeatable = request.method == "GET";
+  auto r = co_await cloud_.Call(term, d_.settings->cloud, std::move(request), kCloudTimeoutS,
+                                repeatable);
+  co_return r;
+}
+
+rt::Task<> Duties::LearnFlavors(rt::Scope& term) {
+  const double now = term.loop().Now();
+  if (flavors_at_ >= 0 && now - flavors_at_ < kFlavorReports * d_.settings->report_s) co_return;
+  wire::HttpRequest q{.method = "GET", .target = "/flavors", .body = {}};
+  auto r = co_await CallCloud(term, std::move(q));
+  if (!r || r->status != 200) co_return;
+  auto doc = wire::ParseObject(r->body);
+  auto flavors = doc ? wire::ReadFlavors(*doc) : std::nullopt;
+  if (!flavors || flavors->empty()) {
+    spdlog::warn("cloud: the list of machine types can't be read");
+    co_return;
+  }
+  flavors_at_ = now;
+  context_.flavors = std::move(*flavors);
+  // Prices move all the time; the others need to know only what could run.
+  auto plain = context_.flavors;
+  for (auto& f : plain) f.spot_price = f.price;
+  const std::string value = wire::WriteFlavors(plain);
+  if (value == wire::WriteFlavors(*d_.flavors)) co_return;
+  const std::string key = store::FlavorsKey();
+  std::vector<wire::Guard> guards = {{store::BlockKey(0), d_.leadership->token()}};
+  std::vector<wire::Write> writes = {{key, value, 0}};
+  auto w = co_await d_.client->Txn(std::move(guards), std::move(writes));
+  if (w.ok()) {
+    d_.replica->Apply(key, value, w.value.revision);
+  } else {
+    flavors_at_ = -1;
+  }
+  work_waits_ = true;
+  work_.Notify();
+}
+
+rt::Task<bool> Duties::ListMachines(rt::Scope& term) {
+  std::vector<wire::Listed> all;
+  std::string after;
+  while (!term.cancelled()) {
+    std::string target = "/rentals?limit=500";
+    if (!after.empty()) target += "&from=" + wire::EscapeQuery(after);
+    wire::HttpRequest q{.method = "GET", .target = std::move(target), .body = {}};
+    auto r = co_await CallCloud(term, std::move(q));
+    if (!r || r->status != 200) co_return false;
+    auto page = wire::ReadMachineList(r->body);
+    if (!page) {
+      spdlog::warn("cloud: the list of machines can't be read");
+      co_return false;
+    }
+    for (auto& m : page->machines) all.push_back(std::move(m));
+    if (!page->more || page->machines.empty()) break;
+    after = all.back().machine;
+  }
+  if (term.cancelled()) co_return false;
+  roster_.OnListed(all, term.loop().Now());
+  co_return true;
+}
+
+rt::Task<> Duties::Rent(rt::Scope& term) {
+  auto rentals =
+      renter_.Rentals(wants_, context_.flavors, d_.leadership->token(), term.loop().Now());
+  wants_.clear();
+  for (const wire::Rental& r : rentals) {
+    if (term.cancelled() || !d_.leadership->Entitled()) co_return;
+    wire::HttpRequest q{.method = "POST", .target = "/rentals", .body = wire::WriteRental(r)};
+    auto answer = co_await CallCloud(term, std::move(q));
+    const double now = term.loop().Now();
+    if (!answer) {
+      spdlog::warn("cloud: no answer to rental {}", r.request);
+      co_return;
+    }
+    if (answer->status == 200) {
+      auto names = wire::ReadRented(answer->body);
+      if (!names) continue;
+      spdlog::info("rented {} of {} {} in {} ({})", names->size(), r.count, r.flavor, r.zone,
+                   r.spot ? "spot" : "ordinary");
+      roster_.OnRented(*names, r, now);
+      if (static_cast<int>(names->size()) < r.count) renter_.OnShort(r, now);
+    } else if (answer->body.find("no capacity") != std::string::npos) {
+      renter_.OnShort(r, now);
+    } else {
+      co_return;
+    }
+  }
+}
+
+rt::Task<> Duties::ReturnMachines(rt::Scope& term) {
+  std::vector<std::string> names;
+  for (const auto& [name, m] : roster_.all()) {
+    if (!m.returning || names.size() >= kReturnsPerCall) continue;
+    names.push_back(name);
+  }
+  if (names.empty()) co_return;
+  wire::HttpRequest q{
+      .method = "POST", .target = "/rentals/return", .body = wire::WriteReturn(names)};
+  auto r = co_await CallCloud(term, std::move(q));
+  if (!r || r->status != 200) co_return;
+  for (const auto& name : names) {
+    spdlog::info("machine {} returned", name);
+    roster_.OnReturned(name);
+  }
+  work_waits_ = true;
+  work_.Notify();
+}
+
+rt::Task<> Duties::CloudLoop(rt::Scope& term) {
+  const double period = std::max(1 / (kListShare * d_.settings->cloud_rps),
+                                 d_.settings->report_s / 3);
+  while (!term.cancelled()) {
+    co_await LearnFlavors(term);
+    bool listed = co_await ListMachines(term);
+    if (term.cancelled()) break;
+    const double now = term.loop().Now();
+    const bool heard =
+        renter_.Review(roster_, *d_.ledger, context_, !wants_.empty(), now);
+    if (!heard) {
+      d_.leadership->Resign(kResignRatio * d_.settings->lease_s, "most workers are silent");
+      break;
+    }
+    co_await ReturnMachines(term);
+    if (listed) co_await Rent(term);
+    rt::Sleep pause(term, period);
+    co_await pause;
+  }
+}
+
+}  // namespace hallpier::app
--- /dev/null
+++ b/src/app/duties.h
@@ -0,0 +1,73 @@
+// What only the leader does: rounds, commits, orders to workers, renting.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "config/settings.h"
+#include "fleet/renter.h"
+#include "fleet/roster.h"
+#include "jobs/batch.h"
+#include "jobs/ledger.h"
+#include "lead/leadership.h"
+#include "net/http_client.h"
+#include "plan/round.h"
+#include "store/client.h"
+#include "store/replica.h"
+
+namespace hallpier::app {
+
+class Duties {
+ public:
+  struct Deps {
+    const config::Settings* settings;
+    const config::Operator* operators;
+    store::Client* client;
+    store::Replica* replica;
+    jobs::Ledger* ledger;
+    std::vector<wire::Flavor>* flavors;
+    lead::Leadership* leadership;
+  };
+  explicit Duties(Deps deps);
+
+  // Starts the duties of a term; they end with its scope.
+  void Begin(rt::Scope& term);
+  // A job's record has changed; the leader looks at it in the next round.
+  void OnJobChanged(const std::string& id);
+  // A worker's report, and what it is to be told.
+  wire::HttpResponse OnCheckin(const wire::Report& report);
+
+ private:
+  rt::Task<> RoundLoop(rt::Scope& term);
+  rt::Task<> Round(rt::Scope& term);
+  // False if something did not get written: the records decide what comes next.
+  rt::Task<bool> Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations);
+  rt::Task<> CloudLoop(rt::Scope& term);
+  rt::Task<bool> ListMachines(rt::Scope& term);
+  rt::Task<> LearnFlavors(rt::Scope& term);
+  rt::Task<> Rent(rt::Scope& term);
+  rt::Task<> ReturnMachines(rt::Scope& term);
+  rt::Task<std::optional<wire::HttpResponse>> CallCloud(rt::Scope& term, wire::HttpRequest request);
+  // Tells a worker its orders without waiting for its report; one command at a time.
+  void Tell(rt::Scope& term, const std::string& machine);
+  rt::Task<> TellLoop(rt::Scope& term, std::string machine);
+
+  Deps d_;
+  fleet::Roster roster_;
+  fleet::Renter renter_;
+  plan::Context context_;
+  net::HttpClient workers_;
+  net::HttpClient cloud_;
+  store::Budget cloud_budget_;
+  rt::Scope* term_ = nullptr;
+  rt::Event work_;
+  bool work_waits_ = false;
+  std::set<std::string> told_;     // machines with a direct command under way
+  std::set<std::string> to_tell_;  // and those that need another one after it
+  std::vector<plan::Want> wants_;
+  double round_took_ = 0;
+  double flavors_at_ = -1;
+};
+
+}  // namespace hallpier::app
--- /dev/null
+++ b/src/config/settings.cc
@@ -0,0 +1,230 @@
+#include "config/settings.h"
+
+#include <confuse.h>
+#include <toml++/toml.h>
+
+#include <cstdarg>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "net/stream.h"
+
+namespace hallpier::config {
+namespace {
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return std::nullopt;
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// libconfuse reports faults through a plain function; this is where the current parse wants them.
+std::vector<std::string>* operator_faults = nullptr;
+
+void OnOperatorError(cfg_t* cfg, const char* format, va_list args) {
+  char text[200];
+  vsnprintf(text, sizeof(text), format, args);
+  operator_faults->push_back("operator file, line " + std::to_string(cfg->line) + ": " + text);
+}
+
+class Reader {
+ public:
+  Reader(const toml::table& root, std::vector<std::string>* faults)
+      : root_(root), faults_(*faults) {}
+
+  void Fault(const std::string& field, const std::string& what) {
+    faults_.push_back(field + ": " + what);
+  }
+
+  std::string Text(const toml::table& t, const std::string& where, const char* key) {
+    auto v = t[key].value<std::string>();
+    if (!v || v->empty()) Fault(where + key, "missing, or not a text");
+    return v.value_or("");
+  }
+
+  std::string Address(const toml::table& t, const std::string& where, const char* key) {
+    std::string text = Text(t, where, key);
+    if (!text.empty() && !net::ParseAddress(text)) Fault(where + key, "not an address: " + text);
+    return text;
+  }
+
+  // A number of at least `least`; `otherwise` if it may be missing and is.
+  double Number(const toml::table& t, const std::string& where, const char* key, double least,
+                std::optional<double> otherwise = std::nullopt) {
+    auto node = t[key];
+    if (!node && otherwise) return *otherwise;
+    auto v = node.value<double>();
+    if (!v) {
+      Fault(where + key, "missing, or not a number");
+      return least;
+    }
+    if (!(*v >= least) || *v > 1e15) {
+      std::ostringstream what;
+      what << *v << " is out of range";
+      Fault(where + key, what.str());
+      return least;
+    }
+    return *v;
+  }
+
+  const toml::table& Table(const char* path) {
+    if (const toml::table* t = root_.at_path(path).as_table()) return *t;
+    Fault(path, "missing section");
+    static const toml::table kEmpty;
+    return kEmpty;
+  }
+
+  template <class F>
+  void Each(const char* path, F f) {
+    const toml::array* a = root_.at_path(path).as_array();
+    if (a == nullptr) return;
+    for (size_t i = 0; i < a->size(); ++i) {
+      std::string where = std::string(path) + "[" + std::to_string(i) + "].";
+      if (const toml::table* t = a->get(i)->as_table()) {
+        f(*t, where);
+      } else {
+        Fault(where, "not a table");
+      }
+    }
+  }
+
+ private:
+  const toml::table& root_;
+  std::vector<std::string>& faults_;
+};
+
+}  // namespace
+
+const Team* Settings::FindTeam(const std::string& name) const {
+  for (const Team& t : teams) {
+    if (t.name == name) return &t;
+  }
+  return nullptr;
+}
+
+Settings ParseSettings(const std::string& text, std::vector<std::string>* faults) {
+  Settings s;
+  toml::table root;
+  try {
+    root = toml::parse(text);
+  } catch (const toml::parse_error& e) {
+    std::ostringstream what;
+    what << "line " << e.source().begin.line << ": " << e.description();
+    faults->push_back(what.str());
+    return s;
+  }
+  Reader r(root, faults);
+  s.node = r.Text(root, "", "node");
+  s.area = r.Text(root, "", "area");
+  s.listen = r.Address(root, "", "listen");
+  s.peer_bind = r.Address(root, "", "peer_bind");
+  r.Each("seeds", [&](const toml::table& t, const std::string& where) {
+    s.seeds.push_back(
+        {r.Text(t, where, "node"), r.Text(t, where, "area"), r.Address(t, where, "endpoint")});
+  });
+  const toml::table& services = r.Table("services");
+  s.cloud = r.Address(services, "services.", "cloud");
+  s.state = r.Address(services, "services.", "state");
+  const toml::table& params = r.Table("params");
+  s.size = static_cast<int>(r.Number(params, "params.", "size", 1, 1.0 + s.seeds.size()));
+  s.skew_ms = r.Number(params, "params.", "skew_ms", 0, 0.0);
+  if (const toml::array* zones = params["zones"].as_array()) {
+    for (const auto& z : *zones) {
+      if (auto v = z.value<std::string>()) s.zones.push_back(*v);
+    }
+  }
+  r.Each("params.teams", [&](const toml::table& t, const std::string& where) {
+    Team team;
+    team.name = r.Text(t, where, "name");
+    team.cpus = r.Number(t, where, "cpus", 0, 0.0);
+    team.cpus_max = r.Number(t, where, "cpus_max", 0, 0.0);
+    team.gpus = r.Number(t, where, "gpus", 0, 0.0);
+    team.gpus_max = r.Number(t, where, "gpus_max", 0, 0.0);
+    s.teams.push_back(std::move(team));
+  });
+  r.Each("params.objectives", [&](const toml::table& t, const std::string& where) {
+    s.objectives.push_back({r.Text(t, where, "kind"), t["class"].value_or(std::string()),
+                            r.Number(t, where, "within_s", 0, 0.0),
+                            r.Number(t, where, "share", 0, 0.0)});
+  });
+  const toml::table& workers = r.Table("params.workers");
+  s.report_s = r.Number(workers, "params.workers.", "report_s", 0.01);
+  s.lease_s = r.Number(workers, "params.workers.", "lease_s", 0.1);
+  s.cancel_s = r.Number(workers, "params.workers.", "cancel_s", 0.1);
+  const toml::table& state = r.Table("params.state");
+  s.state_rps = r.Number(state, "params.state.", "rps", 1);
+  s.state_write_rps = r.Number(state, "params.state.", "write_rps", 1);
+  s.value_kb = r.Number(state, "params.state.", "value_kb", 1);
+  s.txn_ops = static_cast<int>(r.Number(state, "params.state.", "txn_ops", 4));
+  const toml::table& cloud = r.Table("params.cloud");
+  s.cloud_rps = r.Number(cloud, "params.cloud.", "rps", 0.01);
+  s.list_lag_s = r.Number(cloud, "params.cloud.", "list_lag_s", 0);
+  const toml::table& limits = r.Table("params.machine_limits");
+  s.core_share = r.Number(limits, "params.machine_limits.", "core_share", 0.001, 1.0);
+  s.memory_mb = r.Number(limits, "params.machine_limits.", "memory_mb", 16, 256.0);
+  s.max_sockets = static_cast<int>(r.Number(limits, "params.machine_limits.", "max_sockets", 16,
+                                            1000.0));
+  return s;
+}
+
+Settings LoadSettings(const std::string& path, std::vector<std::string>* faults) {
+  auto text = ReadFile(path);
+  if (!text) {
+    faults->push_back(path + ": can't be read");
+    return {};
+  }
+  return ParseSettings(*text, faults);
+}
+
+Operator ParseOperator(const std::string& text, std::vector<std::string>* faults) {
+  Operator out;
+  struct Field {
+    const char* name;
+    double* into;
+    double least, most;
+  };
+  const Field fields[] = {
+      {"round_s", &out.round_s, 0.1, 60},
+      {"leader_ttl_ratio", &out.leader_ttl_ratio, 0.3, 20},
+      {"blind_ratio", &out.blind_ratio, 0.05, 2},
+      {"silent_ratio", &out.silent_ratio, 2, 100},
+      {"idle_ratio", &out.idle_ratio, 0.1, 1000},
+      {"headroom", &out.headroom, 0, 10},
+      {"urgent_reserve", &out.urgent_reserve, 0, 0.9},
+  };
+  std::vector<cfg_opt_t> options;
+  for (const Field& f : fields) options.push_back(CFG_FLOAT(f.name, *f.into, CFGF_NONE));
+  options.push_back(CFG_END());
+  std::unique_ptr<cfg_t, decltype(&cfg_free)> cfg(cfg_init(options.data(), CFGF_NONE), &cfg_free);
+  cfg_set_error_function(cfg.get(), OnOperatorError);
+  operator_faults = faults;
+  const bool parsed = cfg_parse_buf(cfg.get(), text.c_str()) == CFG_SUCCESS;
+  operator_faults = nullptr;
+  if (!parsed) return out;
+  for (const Field& f : fields) {
+    const double number = cfg_getfloat(cfg.get(), f.name);
+    if (!(number >= f.least) || !(number <= f.most)) {
+      std::ostringstream what;
+      what << f.name << ": " << number << " is not between " << f.least << " and " << f.most;
+      faults->push_back(what.str());
+      continue;
+    }
+    *f.into = number;
+  }
+  return out;
+}
+
+Operator LoadOperator(const std::string& path, std::vector<std::string>* faults) {
+  auto text = ReadFile(path);
+  if (!text) {
+    faults->push_back(path + ": can't be read");
+    return {};
+  }
+  return ParseOperator(*text, faults);
+}
+
+}  // namespace hallpier::config
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,77 @@
+// The platform's settings file (TOML) and the operators' own file (libconfuse, the kin of HCL).
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hallpier::config {
+
+struct Seed {
+  std::string node;
+  std::string area;
+  std::string endpoint;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0;      // guaranteed
+  double cpus_max = 0;  // 0: no limit
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string lane;
+  double within_s = 0;
+  double share = 0;
+};
+
+struct Settings {
+  std::string node;
+  std::string area;
+  std::string listen;
+  std::string peer_bind;
+  std::vector<Seed> seeds;
+  std::string cloud;
+  std::string state;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  int size = 1;
+  double skew_ms = 0;
+  double report_s = 0;
+  double lease_s = 0;
+  double cancel_s = 0;
+  double state_rps = 0;
+  double state_write_rps = 0;
+  double value_kb = 0;
+  int txn_ops = 0;
+  double cloud_rps = 0;
+  double list_lag_s = 0;
+  double core_share = 1;
+  double memory_mb = 0;
+  int max_sockets = 0;
+
+  const Team* FindTeam(const std::string& name) const;
+};
+
+// Operators' own settings: ratios to the platform's figures, every one of them optional.
+struct Operator {
+  double round_s = 2.0;           // time between two rounds of mapping, at first
+  double leader_ttl_ratio = 1.0;  // leader's lease on the state service / report_s
+  double blind_ratio = 0.5;       // answers without the state service: at most this / lease_s
+  double silent_ratio = 4.0;      // a machine is given up after this many report_s in silence
+  double idle_ratio = 3.0;        // an idle machine is returned after this many readyS
+  double headroom = 0.25;         // machines kept beyond what runs and waits
+  double urgent_reserve = 0.08;   // share of all processors kept for prod and urgent work
+};
+
+// Both add one line per fault to `faults`, naming field and value; no line means success.
+Settings LoadSettings(const std::string& path, std::vector<std::string>* faults);
+Settings ParseSettings(const std::string& text, std::vector<std::string>* faults);
+Operator LoadOperator(const std::string& path, std::vector<std::string>* faults);
+Operator ParseOperator(const std::string& text, std::vector<std::string>* faults);
+
+}  // namespace hallpier::config
--- /dev/null
+++ b/src/fleet/roster.cc
@@ -0,0 +1,382 @@
+#include "fleet/roster.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace hallpier::fleet {
+namespace {
+
+// Steady clocks may differ by this much; a report period covers the rest (steps, late timers).
+constexpr double kDrift = 0.001;
+// A machine on which this many jobs failed, with no success between, is sick.
+constexpr size_t kSickJobs = 2;
+// A job that failed on this many machines and was never done is itself to blame.
+constexpr size_t kBadJobMachines = 3;
+
+}  // namespace
+
+void Roster::BeginTerm(uint64_t token, double now, double others_until) {
+  token_ = token;
+  term_start_ = now;
+  others_until_ = others_until;
+  gone_.clear();
+  for (auto& [name, m] : machines_) m.sent.clear();
+}
+
+Machine* Roster::Find(const std::string& name) {
+  auto it = machines_.find(name);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
+void Roster::TakePieces(Machine& m, const wire::Report& r, double now) {
+  std::map<wire::TaskId, Held> held;
+  for (const wire::Piece& p : r.pieces) {
+    Held h;
+    h.attempt = p.attempt;
+    h.state = p.state;
+    h.cause = p.cause;
+    h.since = now;
+    auto old = m.held.find(p.task);
+    const bool known = old != m.held.end() && old->second.attempt == p.attempt;
+    if (known && old->second.state == p.state) {
+      h = old->second;
+    } else if (known && p.state == wire::PieceState::kExited) {
+      NoteExit(m, p.task, p.cause);
+      if (old->second.state == wire::PieceState::kRunning && old->second.seen_start) {
+        h.run_s = now - old->second.since;
+      }
+    } else if (p.state == wire::PieceState::kRunning) {
+      h.seen_start = known || m.sent.contains(p.task);
+    }
+    // One worker may hold several attempts of a task; the newest is the one that matters.
+    auto [it, fresh] = held.emplace(p.task, h);
+    if (!fresh && it->second.attempt < h.attempt) it->second = h;
+  }
+  m.held = std::move(held);
+}
+
+bool Roster::OnReport(const wire::Report& r, double now, bool direct) {
+  auto [it, fresh] = machines_.try_emplace(r.machine);
+  Machine& m = it->second;
+  if (fresh) {
+    m.name = r.machine;
+    m.first_seen = now;
+    m.rented_at = now;
+    m.idle_since = now;
+    // A late report, or a machine that a late rental request brought back: return it once more.
+    if (gone_.contains(r.machine)) Return(m, "reports after it was gone");
+  }
+  // Reports may be held back for minutes: what is not newer proves nothing.
+  if (m.reported() && (r.tenure < m.tenure || (r.tenure == m.tenure && r.tick <= m.tick))) {
+    return false;
+  }
+  const bool first = !m.reported();
+  const bool moved_on = r.tenure > m.tenure;
+  m.endpoint = r.endpoint;
+  m.flavor = r.flavor;
+  m.zone = r.zone;
+  m.spot = r.spot;
+  m.tenure = r.tenure;
+  m.tick = r.tick;
+  m.token = r.token;
+  m.booting = false;
+  m.last_report = now;
+  if (!direct) {
+    m.checkin_tick = r.tick;
+  } else if (moved_on) {
+    m.checkin_tick = 0;
+  }
+  const bool had_notice = m.noticed();
+  m.reclaim_at = r.reclaim_s ? now + *r.reclaim_s : std::numeric_limits<double>::infinity();
+  const auto before = m.held;
+  TakePieces(m, r, now);
+  bool changed = first || moved_on || had_notice != r.reclaim_s.has_value() ||
+                 before.size() != m.held.size();
+  for (const auto& [task, h] : m.held) {
+    auto old = before.find(task);
+    changed = changed || old == before.end() || old->second.state != h.state ||
+              old->second.attempt != h.attempt;
+  }
+  return changed;
+}
+
+void Roster::OnAnswered(const std::string& machine, double now) {
+  if (Machine* m = Find(machine)) m->last_answer = now;
+}
+
+void Roster::OnListed(const std::vector<wire::Listed>& list, double now) {
+  std::set<std::string> seen;
+  for (const wire::Listed& l : list) {
+    if (gone_.contains(l.machine)) continue;  // lists lag
+    seen.insert(l.machine);
+    auto [it, fresh] = machines_.try_emplace(l.machine);
+    Machine& m = it->second;
+    if (fresh || !m.reported()) {
+      m.name = l.machine;
+      m.endpoint = l.endpoint;
+      m.flavor = l.flavor;
+      m.zone = l.zone;
+      m.spot = l.spot;
+    }
+    if (fresh) m.first_seen = m.idle_since = now;
+    if (!m.listed) {
+      m.listed = true;
+      m.first_listed = now;
+      m.rented_at = now - l.age_s;
+    }
+    if (l.state != wire::RentalState::kBooting) m.booting = false;
+    if (l.state == wire::RentalState::kFailed) Return(m, "failed by itself");
+  }
+  std::vector<std::string> vanished;
+  for (auto& [name, m] : machines_) {
+    // Lists may be older than the one before, but never by more than twice the lag: what was in a
+    // list before that and is missing now is gone.
+    const bool settled = m.listed && now - m.first_listed > 3 * options_.list_lag_s + 1;
+    if (settled && !seen.contains(name)) vanished.push_back(name);
+  }
+  for (const auto& name : vanished) {
+    spdlog::info("machine {} is no longer listed: it is gone", name);
+    OnReturned(name);
+  }
+}
+
+void Roster::OnRented(const std::vector<std::string>& names, const wire::Rental& rental,
+                      double now) {
+  for (const auto& name : names) {
+    auto [it, fresh] = machines_.try_emplace(name);
+    if (!fresh) continue;
+    Machine& m = it->second;
+    m.name = name;
+    m.flavor = rental.flavor;
+    m.zone = rental.zone;
+    m.spot = rental.spot;
+    m.first_seen = m.rented_at = m.idle_since = now;
+  }
+}
+
+void Roster::OnReturned(const std::string& machine) {
+  machines_.erase(machine);
+  gone_.insert(machine);
+}
+
+void Roster::Return(Machine& m, const std::string& why) {
+  if (m.returning) return;
+  m.returning = true;
+  m.why_returning = why;
+  spdlog::info("machine {} ({} {} {}): to be returned: {}", m.name, m.flavor, m.zone,
+               m.spot ? "spot" : "ordinary", why);
+}
+
+void Roster::Stop(const wire::TaskId& task, uint64_t attempt, double grace_s) {
+  auto [it, fresh] = stops_.try_emplace(task, StopWish{attempt, grace_s});
+  if (!fresh && (it->second.attempt != attempt || grace_s < it->second.grace_s)) {
+    it->second = {attempt, grace_s};
+  }
+}
+
+bool Roster::Stopping(const wire::TaskId& task, uint64_t attempt) const {
+  auto it = stops_.find(task);
+  return it != stops_.end() && it->second.attempt == attempt;
+}
+
+bool Roster::Failed(const Machine& m, const std::string& job) const {
+  auto it = health_.find(job);
+  return it != health_.end() && it->second.failed_on.contains(m.name);
+}
+
+void Roster::NoteExit(Machine& m, const wire::TaskId& task, wire::Cause cause) {
+  if (cause == wire::Cause::kDone) {
+    m.errors.clear();
+    health_[task.job].done_on.insert(m.name);
+    return;
+  }
+  if (cause != wire::Cause::kError) return;
+  JobHealth& health = health_[task.job];
+  health.failed_on.insert(m.name);
+  ++m.errors[task.job];
+  if (health.done_on.empty() && health.failed_on.size() >= kBadJobMachines) {
+    // A job that fails everywhere must not condemn the machines it passes through.
+    for (auto& [name, other] : machines_) other.errors.erase(task.job);
+    return;
+  }
+  const bool done_elsewhere =
+      !health.done_on.empty() && (health.done_on.size() > 1 || !health.done_on.contains(m.name));
+  if (m.errors.size() >= kSickJobs || (m.errors[task.job] >= 2 && done_elsewhere)) {
+    Return(m, "fails the tasks it starts");
+  }
+}
+
+bool Roster::Unwanted(const Machine& m, const wire::TaskId& task, uint64_t attempt,
+                      const jobs::Ledger& ledger) const {
+  const jobs::Job* job = ledger.Find(task.job);
+  return m.returning || m.noticed() || Stopping(task, attempt) || job == nullptr ||
+         job->cancelled;
+}
+
+std::vector<wire::Order> Roster::Orders(Machine& m, const jobs::Ledger& ledger, bool direct) {
+  std::vector<wire::Order> out;
+  const auto& placements = ledger.On(m.name);
+  for (const auto& [task, h] : m.held) {
+    auto recorded = placements.find(task);
+    if (recorded != placements.end() && recorded->second == h.attempt) continue;
+    if (h.state != wire::PieceState::kExited) {
+      out.push_back({wire::Verb::kStop, task, h.attempt, 0});
+      continue;
+    }
+    // While a lost start order may still arrive, the exited entry is what makes it void: after
+    // `forget` it would start the attempt anew.
+    auto s = m.sent.find(task);
+    const bool loose = s != m.sent.end() && s->second.loose() && s->second.token == token_ &&
+                       s->second.tenure == m.tenure;
+    if (!loose) out.push_back({wire::Verb::kForget, task, h.attempt, 0});
+  }
+  for (const auto& [task, attempt] : placements) {
+    const jobs::Job* job = ledger.Find(task.job);
+    auto held = m.held.find(task);
+    const bool here = held != m.held.end() && held->second.attempt == attempt;
+    const bool cancelled = job == nullptr || job->cancelled;
+    const bool stop = cancelled || Stopping(task, attempt);
+    if (here) {
+      if (!stop || held->second.state == wire::PieceState::kExited) continue;
+      const double grace = cancelled ? 0 : stops_.at(task).grace_s;
+      // A task that saves already would be cut short by a second stop without grace.
+      if (grace > 0 && held->second.state == wire::PieceState::kSaving) continue;
+      out.push_back({wire::Verb::kStop, task, attempt, grace});
+      continue;
+    }
+    // Nothing new for a machine that goes away, or that knows a higher token than ours.
+    if (Unwanted(m, task, attempt, ledger) || m.token > token_) continue;
+    out.push_back({wire::Verb::kRun, task, attempt, 0});
+    Sent& s = m.sent[task];
+    if (s.token != token_ || s.tenure != m.tenure) s = {};
+    s.attempt = attempt;
+    s.token = token_;
+    s.tenure = m.tenure;
+    s.tick = m.tick;
+    if (direct) ++s.open;
+  }
+  return out;
+}
+
+void Roster::FinishDirect(const std::string& machine, const std::vector<wire::Order>& orders,
+                          uint64_t token, bool answered) {
+  Machine* m = Find(machine);
+  if (m == nullptr) return;
+  for (const wire::Order& o : orders) {
+    auto s = m->sent.find(o.task);
+    if (o.verb != wire::Verb::kRun || s == m->sent.end() || s->second.token != token) continue;
+    if (s->second.open > 0) --s->second.open;
+    if (!answered) s->second.lost = true;
+    s->second.tick = std::max(s->second.tick, m->tick);
+  }
+}
+
+bool Roster::NeedsFence(const jobs::Ledger& ledger) const {
+  for (const auto& [name, m] : machines_) {
+    if (m.token != token_ || m.returning) continue;
+    for (const auto& [task, attempt] : ledger.On(name)) {
+      auto s = m.sent.find(task);
+      if (s == m.sent.end() || !s->second.lost || s->second.token != token_) continue;
+      if (s->second.tenure == m.tenure && m.checkin_tick > s->second.tick &&
+          !m.held.contains(task) && Unwanted(m, task, attempt, ledger)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool Roster::ProvenAbsent(const Machine& m, const wire::TaskId& task) const {
+  if (m.held.contains(task)) return false;
+  // Until the worker has seen our token, orders of an earlier leader may still arrive.
+  if (m.token != token_ || token_ == 0) return false;
+  auto it = m.sent.find(task);
+  if (it == m.sent.end()) return true;  // nobody may have started it since
+  const Sent& s = it->second;
+  if (s.token != token_) return true;    // void since the worker saw ours
+  if (m.tenure > s.tenure) return true;  // a new session has forgotten everything
+  if (s.loose()) return false;
+  // An order in the answer to a report is executed before the next report is sent, or never. The
+  // answer to a direct command may be sent in between, and proves nothing.
+  return m.checkin_tick > s.tick;
+}
+
+double Roster::ExpiresAt(const Machine* m) const {
+  // Counted from the last answer that anybody could have given: another leader, which may not know
+  // yet that it has been followed, or we ourselves.
+  double last = others_until_;
+  if (m != nullptr) last = std::max(last, m->last_answer);
+  return last + options_.lease_s * (1 + kDrift) + options_.report_s / 3;
+}
+
+bool Roster::Silent(const Machine& m, double now) const {
+  if (!m.reported()) return false;
+  return now - std::max(m.last_report, term_start_) > options_.silent_ratio * options_.report_s;
+}
+
+bool Roster::Usable(const Machine& m, double now) const {
+  return m.reported() && !m.returning && m.token == token_ &&
+         m.reclaim_at == std::numeric_limits<double>::infinity() &&
+         now - m.last_report < 1.8 * options_.report_s;
+}
+
+std::vector<jobs::Mutation> Roster::Collect(const jobs::Ledger& ledger, double now) {
+  std::vector<jobs::Mutation> out;
+  using Kind = jobs::Mutation::Kind;
+  for (const auto& [name, placements] : ledger.by_machine()) {
+    Machine* m = Find(name);
+    const bool gone = gone_.contains(name) || now > ExpiresAt(m);
+    for (const auto& [task, attempt] : placements) {
+      const jobs::Job* job = ledger.Find(task.job);
+      auto mutation = [&](Kind kind) {
+        jobs::Mutation mu;
+        mu.kind = kind;
+        mu.task = task;
+        mu.attempt = attempt;
+        mu.machine = name;
+        out.push_back(mu);
+        return &out.back();
+      };
+      if (m == nullptr || !m->reported()) {
+        if (gone) mutation(Kind::kRequeue);
+        continue;
+      }
+      auto held = m->held.find(task);
+      if (held != m->held.end() && held->second.attempt == attempt) {
+        const Held& h = held->second;
+        if (h.state == wire::PieceState::kExited) {
+          const bool standing = job != nullptr && job->spec.shape == wire::Shape::kStanding;
+          if (h.cause == wire::Cause::kDone && !standing) {
+            auto* mu = mutation(Kind::kDone);
+            mu->run_s = h.run_s;
+            mu->flavor = m->flavor;
+          } else {
+            mutation(Kind::kRequeue);
+          }
+          continue;
+        }
+      } else {
+        if (Unwanted(*m, task, attempt, ledger) && ProvenAbsent(*m, task)) {
+          mutation(Kind::kRequeue);
+          continue;
+        }
+      }
+      // An expired lease: the worker has killed it, heard or not.
+      if (gone) mutation(Kind::kRequeue);
+    }
+  }
+  // Wishes to stop what is no longer recorded are fulfilled.
+  std::erase_if(stops_, [&](const auto& s) {
+    const jobs::Job* job = ledger.Find(s.first.job);
+    if (job == nullptr) return true;
+    auto shard = job->shards.find(ledger.ShardOf(s.first.index));
+    if (shard == job->shards.end()) return true;
+    auto open = shard->second.open.find(s.first.index);
+    return open == shard->second.open.end() || open->second.machine.empty() ||
+           open->second.attempt != s.second.attempt;
+  });
+  return out;
+}
+
+}  // namespace hallpier::fleet
--- /dev/null
+++ b/src/fleet/roster.h
@@ -0,0 +1,153 @@
+// What the leader knows of workers and machines, and what a machine must be told. Does no I/O.
+//
+// Safety: a recorded placement counts as alive until this class can prove that it is gone. The
+// proofs, and what they guard against, stand beside ProvenAbsent().
+#pragma once
+
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobs/ledger.h"
+#include "wire/messages.h"
+
+namespace hallpier::fleet {
+
+// What a worker last said of a task.
+struct Held {
+  uint64_t attempt = 0;
+  wire::PieceState state = wire::PieceState::kFetching;
+  wire::Cause cause = wire::Cause::kNone;
+  double since = 0;          // steady time of the first report of this state
+  bool seen_start = false;   // we saw it start to run, so that `since` tells the run time
+  double run_s = 0;          // of an exited task, if known
+};
+
+// The newest start order for a task under our token.
+struct Sent {
+  uint64_t attempt = 0;
+  uint64_t token = 0;
+  uint64_t tenure = 0;
+  uint64_t tick = 0;   // the report that it answered, or the report that confirmed it
+  int open = 0;        // direct commands with it that are under way
+  bool lost = false;   // one of them got no answer: it may be executed at any time
+  bool loose() const { return lost || open > 0; }
+};
+
+struct Machine {
+  std::string name;
+  std::string endpoint;
+  std::string flavor;
+  std::string zone;
+  bool spot = false;
+
+  uint64_t tenure = 0;
+  uint64_t tick = 0;
+  uint64_t checkin_tick = 0;
+  uint64_t token = 0;  // the highest it has seen, as far as we were told
+  double first_seen = 0;
+  double last_report = -std::numeric_limits<double>::infinity();
+  double last_answer = -std::numeric_limits<double>::infinity();
+  double reclaim_at = std::numeric_limits<double>::infinity();
+  std::map<wire::TaskId, Held> held;
+  std::map<wire::TaskId, Sent> sent;
+
+  bool listed = false;
+  double first_listed = 0;
+  double rented_at = 0;
+  bool booting = true;
+
+  bool returning = false;  // to be returned, or asked to be: never used again
+  std::string why_returning;
+  std::map<std::string, int> errors;  // by job, since the last success here
+  double slowness = 1;               // observed run times / predicted ones
+  int slow_samples = 0;
+  double idle_since = 0;
+
+  bool reported() const { return tenure > 0; }
+  bool noticed() const { return reclaim_at < std::numeric_limits<double>::infinity(); }
+};
+
+class Roster {
+ public:
+  struct Options {
+    double report_s = 0;
+    double lease_s = 0;
+    double list_lag_s = 0;
+    double silent_ratio = 0;
+  };
+  explicit Roster(Options options) : options_(options) {}
+
+  // Starts a term: nothing that was learned under another token is proof any more. Others may have
+  // answered workers until `others_until` (steady time).
+  void BeginTerm(uint64_t token, double now, double others_until);
+  uint64_t token() const { return token_; }
+
+  // Takes in a report. `direct`: the answer to /commands, which renews nothing and does not follow
+  // an answer of ours. True if something changed that a round should look at.
+  bool OnReport(const wire::Report& r, double now, bool direct);
+  void OnAnswered(const std::string& machine, double now);
+  void OnListed(const std::vector<wire::Listed>& machines, double now);
+  void OnRented(const std::vector<std::string>& names, const wire::Rental& rental, double now);
+  // The cloud has confirmed a return: the machine and all on it are gone.
+  void OnReturned(const std::string& machine);
+
+  // What the answer to a report, or a direct command, should say. Start orders that go out are
+  // noted as sent; FinishDirect() must follow each direct command.
+  std::vector<wire::Order> Orders(Machine& m, const jobs::Ledger& ledger, bool direct);
+  void FinishDirect(const std::string& machine, const std::vector<wire::Order>& orders,
+                    uint64_t token, bool answered);
+  // True if a lost start order stands in the way of a stop or a cancellation: only a higher token
+  // makes it void.
+  bool NeedsFence(const jobs::Ledger& ledger) const;
+  void SetToken(uint64_t token) { token_ = token; }
+
+  // Outcomes and proofs of absence that must be recorded.
+  std::vector<jobs::Mutation> Collect(const jobs::Ledger& ledger, double now);
+
+  // Asks for a task to be stopped; it stays recorded until it is gone.
+  void Stop(const wire::TaskId& task, uint64_t attempt, double grace_s);
+  bool Stopping(const wire::TaskId& task, uint64_t attempt) const;
+  void Return(Machine& m, const std::string& why);
+  // True if a task of the job failed on the machine.
+  bool Failed(const Machine& m, const std::string& job) const;
+
+  // True if a machine may get new tasks now.
+  bool Usable(const Machine& m, double now) const;
+  bool Silent(const Machine& m, double now) const;
+  // Steady time from which on nothing can run there that was started before; see the .cc file.
+  double ExpiresAt(const Machine* m) const;
+
+  std::map<std::string, Machine>& all() { return machines_; }
+  const std::map<std::string, Machine>& all() const { return machines_; }
+  Machine* Find(const std::string& name);
+
+ private:
+  bool ProvenAbsent(const Machine& m, const wire::TaskId& task) const;
+  bool Unwanted(const Machine& m, const wire::TaskId& task, uint64_t attempt,
+                const jobs::Ledger& ledger) const;
+  void NoteExit(Machine& m, const wire::TaskId& task, wire::Cause cause);
+  void TakePieces(Machine& m, const wire::Report& r, double now);
+
+  const Options options_;
+  uint64_t token_ = 0;
+  double term_start_ = 0;
+  double others_until_ = 0;
+  std::map<std::string, Machine> machines_;
+  struct StopWish {
+    uint64_t attempt;
+    double grace_s;
+  };
+  std::map<wire::TaskId, StopWish> stops_;
+  std::set<std::string> gone_;  // confirmed returns of this term
+  struct JobHealth {
+    std::set<std::string> failed_on;
+    std::set<std::string> done_on;
+  };
+  std::map<std::string, JobHealth> health_;
+};
+
+}  // namespace hallpier::fleet
--- /dev/null
+++ b/src/jobs/batch.cc
@@ -0,0 +1,189 @@
+#include "jobs/batch.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace hallpier::jobs {
+namespace {
+
+// The service takes 64 KiB; names, stamps and brackets come on top of the values.
+constexpr size_t kMaxTxnBytes = 48 * 1024;
+constexpr size_t kGuardsPerWrite = 4;
+
+struct Changed {
+  const Job* job = nullptr;
+  std::map<uint32_t, store::Shard> shards;
+  std::map<uint32_t, std::vector<std::string>> machines;  // by shard: new placements
+  bool urgent = false;
+};
+
+struct Unit {
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+  std::vector<std::string> machines;
+  bool urgent = false;
+};
+
+size_t Bytes(const std::vector<wire::Write>& writes) {
+  size_t n = 0;
+  for (const auto& w : writes) n += w.key.size() + w.value.size() + 64;
+  return n;
+}
+
+// What a job's shards will hold once `changed` is written.
+template <class F>
+uint32_t Sum(const Job& job, const Changed& changed, F count) {
+  uint32_t n = 0;
+  for (const auto& [number, shard] : job.shards) {
+    if (!changed.shards.contains(number)) n += count(shard);
+  }
+  for (const auto& [number, shard] : changed.shards) n += count(shard);
+  return n;
+}
+
+class Builder {
+ public:
+  Builder(const Ledger& ledger, const BatchLimits& limits, const StampOf& stamp)
+      : ledger_(ledger), limits_(limits), stamp_(stamp) {}
+
+  void AddJob(const std::string& id, const Changed& changed) {
+    const Job& job = *changed.job;
+    const uint32_t done = Sum(job, changed, [](const store::Shard& s) { return s.done.size(); });
+    const uint32_t placed = Sum(job, changed, [](const store::Shard& s) { return s.placed(); });
+    const bool over = !job.cancelled && done == job.spec.tasks;
+    const bool ended = over || (job.cancelled && placed == 0);
+    std::set<uint32_t> numbers;
+    for (const auto& [number, shard] : job.shards) numbers.insert(number);
+    const size_t room = static_cast<size_t>(limits_.ops) - 2;
+    const bool one_txn = changed.shards.size() <= room;
+    if (ended && one_txn) {
+      AddFinal(id, changed, over ? wire::Phase::kDone : wire::Phase::kCancelled, done, room);
+      return;
+    }
+    for (const auto& [number, shard] : changed.shards) {
+      Unit u;
+      const std::string key = store::ShardKey(id, number);
+      u.guards = {{store::JobKey(id), stamp_(store::JobKey(id))}, {key, stamp_(key)}};
+      u.writes = {{key, store::WriteShard(shard), 0}};
+      auto it = changed.machines.find(number);
+      if (it != changed.machines.end()) u.machines = it->second;
+      u.urgent = changed.urgent;
+      units_.push_back(std::move(u));
+    }
+  }
+
+  void AddDrop(const std::string& key) {
+    Unit u;
+    u.guards = {{key, stamp_(key)}};
+    u.writes = {{key, "", 0}};
+    units_.push_back(std::move(u));
+  }
+
+  std::vector<Txn> Pack() {
+    std::stable_sort(units_.begin(), units_.end(),
+                     [](const Unit& a, const Unit& b) { return a.urgent > b.urgent; });
+    std::vector<Txn> out;
+    size_t bytes = 0;
+    for (Unit& u : units_) {
+      const size_t more = Bytes(u.writes);
+      const size_t ops = static_cast<size_t>(limits_.ops);
+      if (out.empty() || out.back().writes.size() + u.writes.size() > ops ||
+          out.back().guards.size() + u.guards.size() > kGuardsPerWrite * ops ||
+          bytes + more > kMaxTxnBytes) {
+        out.emplace_back();
+        out.back().guards.push_back({limits_.block_key, limits_.token});
+        bytes = 0;
+      }
+      Txn& t = out.back();
+      bytes += more;
+      for (auto& g : u.guards) {
+        const bool known = std::any_of(t.guards.begin(), t.guards.end(),
+                                       [&](const wire::Guard& o) { return o.key == g.key; });
+        if (!known) t.guards.push_back(std::move(g));
+      }
+      for (auto& w : u.writes) t.writes.push_back(std::move(w));
+      for (auto& m : u.machines) t.machines.push_back(std::move(m));
+      t.urgent = t.urgent || u.urgent;
+    }
+    return out;
+  }
+
+ private:
+  void AddFinal(const std::string& id, const Changed& changed, wire::Phase phase, uint64_t done,
+                size_t room) {
+    const Job& job = *changed.job;
+    Unit u;
+    u.urgent = true;
+    const std::string job_key = store::JobKey(id);
+    u.guards.push_back({job_key, stamp_(job_key)});
+    u.writes.push_back({store::FinalKey(id), store::WriteFinal({phase, done}), 0});
+    u.writes.push_back({job_key, "", 0});
+    // The changed shards must go with it; what has no room is dropped later, as an orphan.
+    std::vector<uint32_t> drop;
+    for (const auto& [number, shard] : changed.shards) {
+      if (job.shards.contains(number)) drop.push_back(number);
+    }
+    for (const auto& [number, shard] : job.shards) {
+      if (!changed.shards.contains(number) && drop.size() < room) drop.push_back(number);
+    }
+    for (uint32_t number : drop) {
+      const std::string key = store::ShardKey(id, number);
+      u.guards.push_back({key, stamp_(key)});
+      u.writes.push_back({key, "", 0});
+    }
+    units_.push_back(std::move(u));
+  }
+
+  const Ledger& ledger_;
+  const BatchLimits& limits_;
+  const StampOf& stamp_;
+  std::vector<Unit> units_;
+};
+
+}  // namespace
+
+std::vector<Txn> BuildTxns(const Ledger& ledger, const std::vector<Mutation>& mutations,
+                           const BatchLimits& limits, const StampOf& stamp) {
+  std::map<std::string, Changed> by_job;
+  std::vector<std::string> order;
+  for (const Mutation& m : mutations) {
+    const Job* job = ledger.Find(m.task.job);
+    if (job == nullptr) continue;
+    auto [it, fresh] = by_job.try_emplace(m.task.job);
+    Changed& c = it->second;
+    if (fresh) {
+      c.job = job;
+      order.push_back(m.task.job);
+    }
+    const uint32_t number = ledger.ShardOf(m.task.index);
+    auto shard = c.shards.find(number);
+    store::Shard copy;
+    if (shard != c.shards.end()) {
+      copy = shard->second;
+    } else if (auto old = job->shards.find(number); old != job->shards.end()) {
+      copy = old->second;
+    }
+    if (!ledger.Change(*job, m, &copy)) continue;
+    c.shards[number] = std::move(copy);
+    if (m.kind == Mutation::Kind::kPlace) {
+      c.machines[number].push_back(m.machine);
+    } else {
+      c.urgent = true;
+    }
+  }
+  // Jobs that are over without a change of this round: cancelled before anything was placed, or
+  // with more shards than one transaction could take at once.
+  for (const auto& [id, job] : ledger.all()) {
+    const bool over = job.cancelled ? job.placed() == 0 : job.done() == job.spec.tasks;
+    if (!over || by_job.contains(id)) continue;
+    by_job[id].job = &job;
+    order.push_back(id);
+  }
+  Builder builder(ledger, limits, stamp);
+  for (const auto& id : order) builder.AddJob(id, by_job[id]);
+  for (const auto& key : ledger.Orphans()) builder.AddDrop(key);
+  return builder.Pack();
+}
+
+}  // namespace hallpier::jobs
--- /dev/null
+++ b/src/jobs/ledger.cc
@@ -0,0 +1,191 @@
+#include "jobs/ledger.h"
+
+#include <spdlog/spdlog.h>
+
+namespace hallpier::jobs {
+
+uint32_t Job::done() const {
+  uint32_t n = 0;
+  for (const auto& [number, shard] : shards) n += shard.done.size();
+  return n;
+}
+
+uint32_t Job::placed() const {
+  uint32_t n = 0;
+  for (const auto& [number, shard] : shards) n += shard.placed();
+  return n;
+}
+
+wire::JobStatus Job::Status() const {
+  wire::JobStatus s;
+  s.id = spec.id;
+  s.done = done();
+  s.running = placed();
+  s.phase = cancelled         ? wire::Phase::kCancelled
+            : s.running != 0 ? wire::Phase::kRunning
+                              : wire::Phase::kPending;
+  return s;
+}
+
+std::optional<double> Job::MeanRun(const std::string& flavor) const {
+  store::RunStats sum;
+  for (const auto& [number, shard] : shards) {
+    auto it = shard.runs.find(flavor);
+    if (it == shard.runs.end()) continue;
+    sum.count += it->second.count;
+    sum.sum_s += it->second.sum_s;
+  }
+  if (sum.count == 0) return std::nullopt;
+  return sum.sum_s / static_cast<double>(sum.count);
+}
+
+std::optional<double> Job::MeanRun() const {
+  store::RunStats sum;
+  for (const auto& [number, shard] : shards) {
+    for (const auto& [flavor, stats] : shard.runs) {
+      sum.count += stats.count;
+      sum.sum_s += stats.sum_s;
+    }
+  }
+  if (sum.count == 0) return std::nullopt;
+  return sum.sum_s / static_cast<double>(sum.count);
+}
+
+const Job* Ledger::Find(const std::string& id) const {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+const Ledger::Placements& Ledger::On(const std::string& machine) const {
+  static const Placements kNone;
+  auto it = by_machine_.find(machine);
+  return it == by_machine_.end() ? kNone : it->second;
+}
+
+void Ledger::Index(const std::string& job, const store::Shard& shard, bool add) {
+  for (const auto& [index, task] : shard.open) {
+    if (task.machine.empty()) continue;
+    if (add) {
+      by_machine_[task.machine][{job, index}] = task.attempt;
+      continue;
+    }
+    auto it = by_machine_.find(task.machine);
+    if (it == by_machine_.end()) continue;
+    it->second.erase({job, index});
+    if (it->second.empty()) by_machine_.erase(it);
+  }
+}
+
+void Ledger::Apply(const store::ParsedKey& key, const std::string& value) {
+  if (key.kind == store::KeyKind::kJob) {
+    if (value.empty()) {
+      auto it = jobs_.find(key.job);
+      if (it == jobs_.end()) return;
+      if (!it->second.shards.empty()) orphans_[key.job] = std::move(it->second.shards);
+      jobs_.erase(it);
+      return;
+    }
+    auto record = store::ReadJob(value);
+    if (!record) {
+      spdlog::error("state: job record {} can't be read; it is left as it is", key.job);
+      return;
+    }
+    Job& job = jobs_[key.job];
+    job.spec = std::move(record->spec);
+    job.submitted = record->submitted;
+    job.cancelled = record->cancelled;
+    if (auto it = orphans_.find(key.job); it != orphans_.end()) {
+      job.shards = std::move(it->second);
+      orphans_.erase(it);
+    }
+    return;
+  }
+  if (key.kind != store::KeyKind::kShard) return;
+  auto job = jobs_.find(key.job);
+  auto& shards = job != jobs_.end() ? job->second.shards : orphans_[key.job];
+  std::optional<store::Shard> shard;
+  if (!value.empty()) {
+    shard = store::ReadShard(value);
+    if (!shard) {
+      spdlog::error("state: tasks {}/{} can't be read; they are left as they are", key.job,
+                    key.shard);
+      return;
+    }
+  }
+  if (auto old = shards.find(key.shard); old != shards.end()) {
+    Index(key.job, old->second, false);
+    shards.erase(old);
+  }
+  if (shard) {
+    Index(key.job, *shard, true);
+    shards[key.shard] = std::move(*shard);
+  }
+  if (job == jobs_.end() && shards.empty()) orphans_.erase(key.job);
+}
+
+std::vector<uint32_t> Ledger::Waiting(const Job& job, size_t limit) const {
+  std::vector<uint32_t> out;
+  const uint32_t count = Shards(job);
+  for (uint32_t s = 0; s < count && out.size() < limit; ++s) {
+    auto it = job.shards.find(s);
+    const uint32_t end = std::min(job.spec.tasks, (s + 1) * tasks_per_shard_);
+    for (uint32_t i = s * tasks_per_shard_; i < end && out.size() < limit; ++i) {
+      if (it != job.shards.end()) {
+        if (it->second.done.Contains(i)) continue;
+        auto open = it->second.open.find(i);
+        if (open != it->second.open.end() && !open->second.machine.empty()) continue;
+      }
+      out.push_back(i);
+    }
+  }
+  return out;
+}
+
+uint64_t Ledger::NextAttempt(const Job& job, uint32_t index) const {
+  auto it = job.shards.find(ShardOf(index));
+  if (it == job.shards.end()) return 1;
+  auto open = it->second.open.find(index);
+  return open == it->second.open.end() ? 1 : open->second.attempt + 1;
+}
+
+bool Ledger::Change(const Job& job, const Mutation& m, store::Shard* shard) const {
+  const uint32_t i = m.task.index;
+  auto open = shard->open.find(i);
+  const bool ours = open != shard->open.end() && open->second.machine == m.machine &&
+                    open->second.attempt == m.attempt;
+  switch (m.kind) {
+    case Mutation::Kind::kPlace: {
+      if (job.cancelled || i >= job.spec.tasks || shard->done.Contains(i)) return false;
+      const bool waits = open == shard->open.end() || open->second.machine.empty();
+      const uint64_t last = open == shard->open.end() ? 0 : open->second.attempt;
+      if (!waits || m.attempt != last + 1) return false;
+      shard->open[i] = {m.attempt, m.machine};
+      return true;
+    }
+    case Mutation::Kind::kRequeue:
+      if (!ours) return false;
+      open->second.machine.clear();
+      return true;
+    case Mutation::Kind::kDone:
+      if (!ours) return false;
+      shard->open.erase(open);
+      shard->done.Insert(i);
+      if (m.run_s > 0) {
+        auto& stats = shard->runs[m.flavor];
+        ++stats.count;
+        stats.sum_s += m.run_s;
+      }
+      return true;
+  }
+  return false;
+}
+
+std::vector<std::string> Ledger::Orphans() const {
+  std::vector<std::string> out;
+  for (const auto& [job, shards] : orphans_) {
+    for (const auto& [number, shard] : shards) out.push_back(store::ShardKey(job, number));
+  }
+  return out;
+}
+
+}  // namespace hallpier::jobs
--- /dev/null
+++ b/src/jobs/ledger.h
@@ -0,0 +1,76 @@
+// All unfinished jobs and placements as the state service has them. Does no I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "store/schema.h"
+#include "wire/messages.h"
+
+namespace hallpier::jobs {
+
+struct Job {
+  wire::JobSpec spec;
+  double submitted = 0;
+  bool cancelled = false;
+  std::map<uint32_t, store::Shard> shards;
+
+  uint32_t done() const;
+  uint32_t placed() const;
+  // Tasks that are neither done nor placed.
+  uint32_t waiting() const { return spec.tasks - done() - placed(); }
+  wire::JobStatus Status() const;
+  // Mean run time on a machine type; nothing before the first finish there.
+  std::optional<double> MeanRun(const std::string& flavor) const;
+  std::optional<double> MeanRun() const;  // over all types
+};
+
+// What a round wants written about one task.
+struct Mutation {
+  enum class Kind { kPlace, kRequeue, kDone };
+  Kind kind = Kind::kPlace;
+  wire::TaskId task;
+  uint64_t attempt = 0;
+  std::string machine;
+  double run_s = 0;     // kDone: 0 if unknown
+  std::string flavor;   // kDone
+};
+
+class Ledger {
+ public:
+  explicit Ledger(uint32_t tasks_per_shard) : tasks_per_shard_(tasks_per_shard) {}
+
+  // Takes in a change of the state service. An empty value: the key was dropped.
+  void Apply(const store::ParsedKey& key, const std::string& value);
+
+  const std::unordered_map<std::string, Job>& all() const { return jobs_; }
+  const Job* Find(const std::string& id) const;
+  using Placements = std::map<wire::TaskId, uint64_t>;  // task -> attempt
+  const std::map<std::string, Placements>& by_machine() const { return by_machine_; }
+  const Placements& On(const std::string& machine) const;
+
+  uint32_t ShardOf(uint32_t index) const { return index / tasks_per_shard_; }
+  uint32_t Shards(const Job& job) const { return ShardOf(job.spec.tasks - 1) + 1; }
+  // Task numbers that wait, lowest first, at most `limit`.
+  std::vector<uint32_t> Waiting(const Job& job, size_t limit) const;
+  uint64_t NextAttempt(const Job& job, uint32_t index) const;
+
+  // Writes a mutation into a copy of its shard. False if the records have moved on meanwhile.
+  bool Change(const Job& job, const Mutation& m, store::Shard* shard) const;
+  // Shards of jobs that are final already: left behind where one transaction could not drop all.
+  std::vector<std::string> Orphans() const;
+
+ private:
+  void Index(const std::string& job, const store::Shard& shard, bool add);
+
+  const uint32_t tasks_per_shard_;
+  std::unordered_map<std::string, Job> jobs_;
+  std::map<std::string, std::map<uint32_t, store::Shard>> orphans_;
+  std::map<std::string, Placements> by_machine_;
+};
+
+}  // namespace hallpier::jobs
--- /dev/null
+++ b/src/lead/leadership.cc
@@ -0,0 +1,163 @@
+#include "lead/leadership.h"
+
+#include <spdlog/spdlog.h>
+
+namespace hallpier::lead {
+namespace {
+// The lease is renewed this often within its length.
+constexpr double kRenewals = 3;
+}  // namespace
+
+Leadership::Leadership(rt::Scope& scope, const config::Settings& settings,
+                       const config::Operator& operators, store::Client& client,
+                       store::Replica& replica, Term term)
+    : scope_(scope),
+      settings_(settings),
+      operators_(operators),
+      client_(client),
+      replica_(replica),
+      term_(std::move(term)) {}
+
+double Leadership::ttl() const { return operators_.leader_ttl_ratio * settings_.report_s; }
+
+bool Leadership::Entitled() const {
+  // Without the state service we can't know whether another node leads. Answers go on for a set part
+  // of the workers' lease, which a successor waits for (others_until) before it trusts a lease's
+  // end; that carries running tasks through an outage.
+  const double blind = operators_.blind_ratio * settings_.lease_s;
+  return leading() && !lost_ && scope_.loop().Now() < last_renewed_ + blind;
+}
+
+void Leadership::OnRecord(const std::string& value) {
+  record_ = value.empty() ? std::nullopt : store::ReadLeader(value);
+  if (record_ && record_->node != settings_.node) followed_self_ = false;
+  if (leading() && (!record_ || record_->permit != permit_)) {
+    spdlog::warn("leadership: the record is no longer ours");
+    lost_ = true;
+  }
+  wake_.Notify();
+}
+
+void Leadership::Superseded(uint64_t token) {
+  if (!leading() || lost_ || token <= token_) return;
+  spdlog::warn("leadership: token {} is higher than ours, {}", token, token_);
+  lost_ = true;
+  wake_.Notify();
+}
+
+void Leadership::Resign(double pause_s, const std::string& why) {
+  if (!leading() || lost_) return;
+  spdlog::warn("leadership: given up: {}", why);
+  not_before_ = scope_.loop().Now() + pause_s;
+  lost_ = true;
+  wake_.Notify();
+}
+
+rt::Task<bool> Leadership::Fence() {
+  std::vector<wire::Guard> guards = {{store::BlockKey(0), token_}};
+  std::vector<wire::Write> writes = {
+      {store::BlockKey(0), store::WriteBlock(settings_.node), 0}};
+  auto r = co_await client_.Txn(std::move(guards), writes, store::Urgent::kYes);
+  if (!r.ok()) co_return false;
+  token_ = r.value.revision;
+  replica_.Apply(store::BlockKey(0), writes[0].value, token_);
+  spdlog::info("leadership: new token {} to make lost orders void", token_);
+  co_return true;
+}
+
+rt::Task<bool> Leadership::Acquire() {
+  const double asked = scope_.loop().Now();
+  auto permit = co_await client_.Grant(ttl());
+  if (!permit.ok()) co_return false;
+  std::vector<wire::Guard> guards = {{store::LeaderKey(), 0},
+                                     {store::BlockKey(0), replica_.Stamp(store::BlockKey(0))}};
+  const std::string leader = store::WriteLeader({settings_.node, permit.value});
+  const std::string block = store::WriteBlock(settings_.node);
+  std::vector<wire::Write> writes = {{store::LeaderKey(), leader, permit.value},
+                                     {store::BlockKey(0), block, 0}};
+  auto r = co_await client_.Txn(std::move(guards), std::move(writes), store::Urgent::kYes);
+  if (!r.ok()) {
+    // With no answer it may have been, or may yet be, applied: without the lease it can't be.
+    auto ended = co_await client_.End(permit.value);
+    (void)ended;
+    co_return false;
+  }
+  const double now = scope_.loop().Now();
+  const double blind = operators_.blind_ratio * settings_.lease_s;
+  others_until_ = followed_self_ ? now : now + std::max(0.0, blind - ttl());
+  permit_ = permit.value;
+  token_ = r.value.revision;
+  lost_ = false;
+  last_renewed_ = asked;
+  replica_.Apply(store::LeaderKey(), leader, token_);
+  replica_.Apply(store::BlockKey(0), block, token_);
+  spdlog::info("leadership: taken with token {}", token_);
+  co_return true;
+}
+
+rt::Task<> Leadership::Hold() {
+  rt::Scope term(scope_.loop(), &scope_);
+  client_.SetLeading(true);
+  term_(term);
+  while (!scope_.cancelled() && !lost_) {
+    auto pause = wake_.Await(scope_, ttl() / kRenewals);
+    co_await pause;
+    if (scope_.cancelled() || lost_) break;
+    const double asked = scope_.loop().Now();
+    if (asked - last_renewed_ < ttl() / kRenewals * 0.9) continue;
+    auto r = co_await client_.Extend(permit_);
+    if (r.ok()) {
+      last_renewed_ = asked;
+    } else if (r.status == store::Status::kNotFound || r.status == store::Status::kInvalid) {
+      spdlog::warn("leadership: the lease has ended");
+      lost_ = true;
+    }
+  }
+  lost_ = true;
+  term.Cancel();
+  co_await term.Join();
+  client_.SetLeading(false);
+  const uint64_t permit = permit_;
+  token_ = permit_ = 0;
+  spdlog::info("leadership: term is over");
+  auto ended = co_await client_.End(permit);
+  (void)ended;
+}
+
+rt::Task<> Leadership::Run() {
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  while (!scope_.cancelled()) {
+    const double now = scope_.loop().Now();
+    if (!replica_.loaded()) {
+      auto pause = replica_.changed().Await(scope_, ttl());
+      co_await pause;
+      continue;
+    }
+    if (record_ && record_->node == settings_.node) {
+      // Left by the process that ran here before, or by a transaction of ours that got no answer.
+      // One process runs per node: nobody else acts under this record.
+      const uint64_t permit = record_->permit;
+      auto ended = co_await client_.End(permit);
+      followed_self_ = ended.ok();
+      auto pause = wake_.Await(scope_, ttl() / kRenewals);
+      co_await pause;
+      continue;
+    }
+    if (record_ || now < not_before_) {
+      followed_self_ = false;
+      auto pause = wake_.Await(scope_, record_ ? ttl() : not_before_ - now);
+      co_await pause;
+      continue;
+    }
+    bool got = co_await Acquire();
+    followed_self_ = false;
+    if (got) {
+      co_await Hold();
+    } else {
+      rt::Sleep pause(scope_, ttl() / kRenewals * jitter(random_));
+      co_await pause;
+    }
+  }
+}
+
+}  // namespace hallpier::lead
--- /dev/null
+++ b/src/lead/leadership.h
@@ -0,0 +1,67 @@
+// Who leads: a key on a lease of the state service. Taking it rewrites the block record in the same
+// transaction; that record's stamp is the token, which therefore grows with every term.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "config/settings.h"
+#include "rt/loop.h"
+#include "store/client.h"
+#include "store/replica.h"
+
+namespace hallpier::lead {
+
+class Leadership {
+ public:
+  // Runs the duties of a term in the given scope until that is cancelled.
+  using Term = std::function<void(rt::Scope& scope)>;
+
+  Leadership(rt::Scope& scope, const config::Settings& settings, const config::Operator& operators,
+             store::Client& client, store::Replica& replica, Term term);
+
+  rt::Task<> Run();
+  // The state service's record of the leader has changed; empty: there is none.
+  void OnRecord(const std::string& value);
+
+  bool leading() const { return token_ != 0; }
+  uint64_t token() const { return token_; }
+  // True while answers may be given under our token; see kBlind in the .cc file.
+  bool Entitled() const;
+  // Steady time until which another node may have answered workers under an older token.
+  double others_until() const { return others_until_; }
+  // The node that leads as far as we know; empty: nobody.
+  std::string leader() const { return record_ ? record_->node : std::string(); }
+  // Somebody knows a higher token: ours is over.
+  void Superseded(uint64_t token);
+  // Gives the lead to somebody else, and does not take it again for a while.
+  void Resign(double pause_s, const std::string& why);
+  // Replaces our token by a higher one, which makes every order that is still under way void.
+  rt::Task<bool> Fence();
+
+ private:
+  rt::Task<bool> Acquire();
+  rt::Task<> Hold();
+  double ttl() const;
+
+  rt::Scope& scope_;
+  const config::Settings& settings_;
+  const config::Operator& operators_;
+  store::Client& client_;
+  store::Replica& replica_;
+  const Term term_;
+  std::mt19937 random_{std::random_device{}()};
+  std::optional<store::LeaderRecord> record_;
+  uint64_t token_ = 0;
+  uint64_t permit_ = 0;
+  double last_renewed_ = -1;
+  double others_until_ = 0;
+  double not_before_ = 0;
+  bool followed_self_ = false;
+  bool lost_ = false;
+  rt::Event wake_;
+};
+
+}  // namespace hallpier::lead
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,52 @@
+#include "net/http_client.h"
+
+namespace hallpier::net {
+
+std::optional<Stream> HttpClient::TakeIdle(const std::string& endpoint) {
+  auto it = idle_.find(endpoint);
+  while (it != idle_.end() && !it->second.empty()) {
+    Stream s = std::move(it->second.back());
+    it->second.pop_back();
+    if (!s.Stale()) return s;
+  }
+  return std::nullopt;
+}
+
+rt::Task<std::optional<wire::HttpResponse>> HttpClient::Call(rt::Scope& scope, std::string endpoint,
+                                                             wire::HttpRequest request,
+                                                             double timeout_s, bool repeatable) {
+  const double deadline = scope.loop().Now() + timeout_s;
+  const std::string bytes = wire::Serialize(request, endpoint);
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    std::optional<Stream> stream;
+    if (attempt == 0) stream = TakeIdle(endpoint);
+    const bool kept = stream.has_value();
+    if (!kept) {
+      auto to = ParseAddress(endpoint);
+      if (!to) co_return std::nullopt;
+      stream = co_await Stream::Connect(scope, *to, deadline);
+      if (!stream) co_return std::nullopt;
+    }
+    wire::HttpParser parser(wire::HttpParser::Kind::kResponse, max_body_);
+    bool written = co_await stream->Write(scope, bytes, deadline);
+    auto state = wire::HttpParser::State::kMore;
+    while (written && state == wire::HttpParser::State::kMore) {
+      std::string data;
+      bool read = co_await stream->Read(scope, data, deadline);
+      if (!read) break;
+      parser.Feed(data);
+      state = parser.Parse();
+    }
+    if (state == wire::HttpParser::State::kDone) {
+      wire::HttpResponse response = parser.TakeResponse();
+      auto& pool = idle_[endpoint];
+      if (response.keep_alive && pool.size() < max_idle_) pool.push_back(std::move(*stream));
+      co_return response;
+    }
+    bool again = kept && repeatable && !parser.started() && scope.loop().Now() < deadline;
+    if (!again) co_return std::nullopt;
+  }
+  co_return std::nullopt;
+}
+
+}  // namespace hallpier::net
--- /dev/null
+++ b/src/net/stream.cc
@@ -0,0 +1,139 @@
+#include "net/stream.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <charconv>
+
+namespace hallpier::net {
+namespace {
+
+// One read takes no more than this, so that a fast peer can't keep the loop to itself.
+constexpr size_t kReadSize = 64 * 1024;
+
+void SetNoDelay(int fd) {
+  int one = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+
+}  // namespace
+
+std::optional<sockaddr_in> ParseAddress(std::string_view text) {
+  size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in out = {};
+  out.sin_family = AF_INET;
+  uint16_t port = 0;
+  std::string_view digits = text.substr(colon + 1);
+  auto r = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (digits.empty() || r.ec != std::errc() || r.ptr != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  out.sin_port = htons(port);
+  if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &out.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+Fd::~Fd() {
+  if (fd_ >= 0) close(fd_);
+}
+
+rt::Task<bool> Stream::Read(rt::Scope& scope, std::string& out, double deadline) {
+  std::array<char, 16 * 1024> chunk;
+  static_assert(chunk.size() <= kReadSize);
+  while (true) {
+    ssize_t n = recv(fd_.get(), chunk.data(), chunk.size(), 0);
+    if (n > 0) {
+      out.append(chunk.data(), static_cast<size_t>(n));
+      co_return true;
+    }
+    if (n == 0 || !WouldBlock(errno)) co_return false;
+    double left = deadline - scope.loop().Now();
+    if (left <= 0) co_return false;
+    rt::FdWait wait(scope, fd_.get(), EV_READ, left);
+    rt::Wake wake = co_await wait;
+    if (wake != rt::Wake::kReady) co_return false;
+  }
+}
+
+rt::Task<bool> Stream::Write(rt::Scope& scope, std::string_view data, double deadline) {
+  while (!data.empty()) {
+    ssize_t n = send(fd_.get(), data.data(), data.size(), MSG_NOSIGNAL);
+    if (n > 0) {
+      data.remove_prefix(static_cast<size_t>(n));
+      continue;
+    }
+    if (!WouldBlock(errno)) co_return false;
+    double left = deadline - scope.loop().Now();
+    if (left <= 0) co_return false;
+    rt::FdWait wait(scope, fd_.get(), EV_WRITE, left);
+    rt::Wake wake = co_await wait;
+    if (wake != rt::Wake::kReady) co_return false;
+  }
+  co_return true;
+}
+
+bool Stream::Stale() const {
+  char c;
+  ssize_t n = recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || !WouldBlock(errno);
+}
+
+rt::Task<std::optional<Stream>> Stream::Connect(rt::Scope& scope, const sockaddr_in& to,
+                                                double deadline) {
+  Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) co_return std::nullopt;
+  SetNoDelay(fd.get());
+  int r = connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  if (r != 0) {
+    if (errno != EINPROGRESS) co_return std::nullopt;
+    double left = deadline - scope.loop().Now();
+    if (left <= 0) co_return std::nullopt;
+    rt::FdWait wait(scope, fd.get(), EV_WRITE, left);
+    rt::Wake wake = co_await wait;
+    if (wake != rt::Wake::kReady) co_return std::nullopt;
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+      co_return std::nullopt;
+    }
+  }
+  co_return Stream(std::move(fd));
+}
+
+std::optional<Listener> Listener::Open(const sockaddr_in& at, std::string* error) {
+  Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  int one = 1;
+  if (fd) setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+  if (!fd || bind(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof(at)) != 0 ||
+      listen(fd.get(), SOMAXCONN) != 0) {
+    *error = strerror(errno);
+    return std::nullopt;
+  }
+  return Listener(std::move(fd));
+}
+
+rt::Task<std::optional<Stream>> Listener::Accept(rt::Scope& scope) {
+  while (true) {
+    int fd = accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      SetNoDelay(fd);
+      co_return Stream(Fd(fd));
+    }
+    if (!WouldBlock(errno)) co_return std::nullopt;
+    rt::FdWait wait(scope, fd_.get(), EV_READ, -1);
+    rt::Wake wake = co_await wait;
+    if (wake != rt::Wake::kReady) co_return std::nullopt;
+  }
+}
+
+}  // namespace hallpier::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,62 @@
+// Non-blocking TCP: addresses, connected streams, listeners.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "rt/loop.h"
+
+namespace hallpier::net {
+
+// "10.0.0.1:8080". Names are never looked up.
+std::optional<sockaddr_in> ParseAddress(std::string_view text);
+
+class Fd {
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  Fd(Fd&& o) noexcept : fd_(std::exchange(o.fd_, -1)) {}
+  Fd& operator=(Fd&& o) noexcept {
+    std::swap(fd_, o.fd_);
+    return *this;
+  }
+  ~Fd();
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_;
+};
+
+class Stream {
+ public:
+  explicit Stream(Fd fd) : fd_(std::move(fd)) {}
+
+  // Appends what there is to `out`. False at the end of the stream, on errors, at the deadline
+  // (steady seconds) or when the scope is cancelled.
+  rt::Task<bool> Read(rt::Scope& scope, std::string& out, double deadline);
+  rt::Task<bool> Write(rt::Scope& scope, std::string_view data, double deadline);
+  // True if the peer closed an idle stream, or sent what nobody asked for.
+  bool Stale() const;
+
+  static rt::Task<std::optional<Stream>> Connect(rt::Scope& scope, const sockaddr_in& to,
+                                                 double deadline);
+
+ private:
+  Fd fd_;
+};
+
+class Listener {
+ public:
+  static std::optional<Listener> Open(const sockaddr_in& at, std::string* error);
+  // Nothing when the scope is cancelled or the process is out of sockets just now.
+  rt::Task<std::optional<Stream>> Accept(rt::Scope& scope);
+
+ private:
+  explicit Listener(Fd fd) : fd_(std::move(fd)) {}
+  Fd fd_;
+};
+
+}  // namespace hallpier::net
--- /dev/null
+++ b/src/plan/round.cc
@@ -0,0 +1,402 @@
+#include "plan/round.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+#include <tuple>
+
+namespace hallpier::plan {
+namespace {
+
+// A running task that has outlived its prediction is expected to take this part of it more.
+constexpr double kOverdue = 0.1;
+// A start within this part of a report period counts as now.
+constexpr double kNow = 1e-6;
+// A new machine is worth renting for tasks that would else wait this part of its boot time.
+constexpr double kWorthRenting = 0.5;
+// A lane is prompt if its tasks should start within this many report periods.
+constexpr double kPromptReports = 3;
+// What a stop takes beyond saving, in report periods.
+constexpr double kStopReports = 1.0 / 3;
+
+Room NeedOf(const wire::JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
+
+bool Allowed(const wire::JobSpec& s, const fleet::Machine& m) {
+  if (m.spot && !s.spot) return false;
+  if (!s.zone.empty() && s.zone != m.zone) return false;
+  return s.flavors.empty() ||
+         std::find(s.flavors.begin(), s.flavors.end(), m.flavor) != s.flavors.end();
+}
+
+struct TeamState {
+  double cpus_left = std::numeric_limits<double>::infinity();
+  double gpus_left = std::numeric_limits<double>::infinity();
+  double owed_cpus = 0;  // of unfinished jobs so far, oldest first
+  double owed_gpus = 0;
+};
+
+struct Waiter {
+  const jobs::Job* job;
+  bool guaranteed;
+  int tier;
+  size_t count;
+};
+
+class Round {
+ public:
+  Round(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster, double now)
+      : context_(context), ledger_(ledger), roster_(roster), now_(now) {}
+
+  RoundResult Run() {
+    SortJobs();
+    BuildMachines();
+    BuildWaiters();
+    size_t left = kOldest;
+    bool reserved = false;
+    for (size_t i = 0; i < waiters_.size() && left > 0;) {
+      size_t j = i;
+      while (j < waiters_.size() && waiters_[j].tier == waiters_[i].tier) ++j;
+      if (!reserved && waiters_[i].job->spec.urgency > wire::Urgency::kUrgent) {
+        ReservePrompt();
+        reserved = true;
+      }
+      left -= std::min(left, PlanTier(i, j, left));
+      i = j;
+    }
+    return std::move(result_);
+  }
+
+ private:
+  void SortJobs() {
+    for (const auto& [id, job] : ledger_.all()) jobs_.push_back(&job);
+    std::sort(jobs_.begin(), jobs_.end(), [](const jobs::Job* a, const jobs::Job* b) {
+      return std::tie(a->submitted, a->spec.id) < std::tie(b->submitted, b->spec.id);
+    });
+  }
+
+  size_t ZoneIndex(const std::string& zone) {
+    return zones_.try_emplace(zone, zones_.size()).first->second;
+  }
+
+  // Seconds until a placed task frees its room.
+  double Remaining(const jobs::Job& job, const fleet::Machine& m, const wire::TaskId& task,
+                   uint64_t attempt) const {
+    const double run = PredictRun(job, m.flavor);
+    auto held = m.held.find(task);
+    if (roster_.Stopping(task, attempt)) {
+      return job.spec.snapshot_s + kStopReports * context_.settings->report_s;
+    }
+    if (held == m.held.end() || held->second.attempt != attempt ||
+        held->second.state != wire::PieceState::kRunning) {
+      return run;
+    }
+    return std::max(run - (now_ - held->second.since), kOverdue * run);
+  }
+
+  void BuildMachines() {
+    for (const auto& [name, m] : roster_.all()) {
+      const wire::Flavor* f = context_.FindFlavor(m.flavor);
+      if (f == nullptr) continue;
+      const Room capacity{f->cpus, f->gpus, f->memory_gb};
+      const bool usable = roster_.Usable(m, now_);
+      const bool coming = !m.reported() && m.booting && !m.returning &&
+                          now_ - m.rented_at < 2 * f->ready_s;
+      if (!usable && !coming) continue;
+      Slots slots{Timeline(usable ? capacity : Room{}), ZoneIndex(m.zone)};
+      if (coming) {
+        const double ready = m.rented_at + f->ready_s - now_;
+        slots.timeline.Release(std::max(ready, context_.settings->report_s), capacity);
+      }
+      total_cpus_ += f->cpus;
+      constexpr double kForever = 1e9;
+      for (const auto& [task, attempt] : ledger_.On(name)) {
+        const jobs::Job* job = ledger_.Find(task.job);
+        if (job == nullptr) continue;
+        const Room need = NeedOf(job->spec);
+        slots.timeline.Reserve(0, kForever, need);
+        slots.timeline.Release(Remaining(*job, m, task, attempt), need);
+      }
+      for (const auto& [task, held] : m.held) {
+        // What runs there without being recorded there is being stopped.
+        const bool recorded = ledger_.On(name).contains(task);
+        const jobs::Job* job = ledger_.Find(task.job);
+        if (recorded || job == nullptr || held.state == wire::PieceState::kExited) continue;
+        slots.timeline.Reserve(0, context_.settings->report_s, NeedOf(job->spec));
+      }
+      machines_.push_back(&m);
+      slots_.push_back(std::move(slots));
+    }
+  }
+
+  void BuildWaiters() {
+    std::map<std::string, TeamState> teams;
+    for (const config::Team& t : context_.settings->teams) {
+      TeamState& s = teams[t.name];
+      if (t.cpus_max > 0) s.cpus_left = t.cpus_max;
+      if (t.gpus_max > 0) s.gpus_left = t.gpus_max;
+    }
+    for (const jobs::Job* job : jobs_) {
+      TeamState& s = teams[job->spec.team];
+      const double placed = job->placed();
+      s.cpus_left -= placed * job->spec.cpus;
+      s.gpus_left -= placed * job->spec.gpus;
+    }
+    for (const jobs::Job* job : jobs_) {
+      if (job->cancelled) continue;
+      TeamState& s = teams[job->spec.team];
+      const config::Team* team = context_.settings->FindTeam(job->spec.team);
+      const double unfinished = job->spec.tasks - job->done();
+      s.owed_cpus += unfinished * job->spec.cpus;
+      s.owed_gpus += unfinished * job->spec.gpus;
+      const bool has = team != nullptr && (team->cpus > 0 || team->gpus > 0);
+      const bool within = has && s.owed_cpus <= team->cpus && s.owed_gpus <= team->gpus;
+      if (within) guaranteed_.insert(job);
+      NotePrompt(*job);
+      if (job->waiting() == 0) continue;
+      const int urgency = static_cast<int>(job->spec.urgency);
+      waiters_.push_back({job, within, (within ? 0 : 4) + urgency, job->waiting()});
+    }
+    std::stable_sort(waiters_.begin(), waiters_.end(),
+                     [](const Waiter& a, const Waiter& b) { return a.tier < b.tier; });
+    // Tasks over their team's limit stay out.
+    for (Waiter& w : waiters_) {
+      const wire::JobSpec& spec = w.job->spec;
+      TeamState& s = teams[spec.team];
+      auto fit = [&](double left, double need) {
+        return need <= 0 || left == std::numeric_limits<double>::infinity()
+                   ? w.count
+                   : static_cast<size_t>(std::max(0.0, std::floor(left / need + 1e-9)));
+      };
+      w.count = std::min({w.count, fit(s.cpus_left, spec.cpus), fit(s.gpus_left, spec.gpus)});
+      s.cpus_left -= static_cast<double>(w.count) * spec.cpus;
+      s.gpus_left -= static_cast<double>(w.count) * spec.gpus;
+      result_.waiting += w.count;
+    }
+    std::erase_if(waiters_, [](const Waiter& w) { return w.count == 0; });
+  }
+
+  void NotePrompt(const jobs::Job& job) {
+    if (job.spec.urgency > wire::Urgency::kUrgent) return;
+    for (const config::Objective& o : context_.settings->objectives) {
+      if (o.kind == "wait" && o.lane == job.spec.lane &&
+          o.within_s <= kPromptReports * context_.settings->report_s) {
+        context_.prompt_lanes[job.spec.lane] = NeedOf(job.spec);
+      }
+    }
+  }
+
+  // Keeps room for tasks of prompt lanes that are yet to come: who should start at once can't wait
+  // for a slot.
+  void ReservePrompt() {
+    for (const auto& [lane, need] : context_.prompt_lanes) {
+      if (need.cpus <= 0) continue;
+      TaskClass tc;
+      tc.need = need;
+      tc.count = static_cast<size_t>(
+          std::ceil(context_.operators->urgent_reserve * total_cpus_ / need.cpus));
+      constexpr double kLong = 1e6;
+      tc.run_s.assign(machines_.size(), kLong);
+      MapTier(Order::kMinMin, {tc}, slots_, tc.count);
+    }
+  }
+
+  TaskClass ClassOf(const Waiter& w) {
+    const wire::JobSpec& spec = w.job->spec;
+    TaskClass tc;
+    tc.need = NeedOf(spec);
+    tc.count = w.count;
+    tc.one_zone = spec.one_zone;
+    for (const fleet::Machine* m : machines_) {
+      const bool ok = Allowed(spec, *m) && !roster_.Failed(*m, spec.id);
+      tc.run_s.push_back(ok ? PredictRun(*w.job, m->flavor) * m->slowness : -1);
+    }
+    if (!spec.one_zone && !spec.spread) return tc;
+    std::map<std::string, size_t> by_zone;
+    bool unclear = false;
+    for (const auto& [number, shard] : w.job->shards) {
+      for (const auto& [index, task] : shard.open) {
+        if (task.machine.empty()) continue;
+        auto m = roster_.all().find(task.machine);
+        if (m == roster_.all().end()) {
+          unclear = true;
+        } else {
+          ++by_zone[m->second.zone];
+        }
+      }
+    }
+    // While a task is on a machine of which nothing is known, its zone is not known either.
+    if (unclear || (spec.one_zone && by_zone.size() > 1)) tc.count = 0;
+    if (spec.one_zone && by_zone.size() == 1) {
+      tc.fixed_zone = static_cast<int>(ZoneIndex(by_zone.begin()->first));
+    }
+    if (spec.spread) {
+      const size_t most = (spec.tasks + 1) / 2;
+      tc.zone_room.assign(zones_.size(), most);
+      for (const auto& [zone, n] : by_zone) {
+        size_t z = ZoneIndex(zone);
+        if (z < tc.zone_room.size()) tc.zone_room[z] -= std::min(n, most);
+      }
+    }
+    return tc;
+  }
+
+  size_t PlanTier(size_t begin, size_t end, size_t limit) {
+    std::vector<TaskClass> classes;
+    for (size_t i = begin; i < end; ++i) classes.push_back(ClassOf(waiters_[i]));
+    const Map map = Duplex(classes, slots_, limit);
+    std::vector<size_t> started(classes.size(), 0), later(classes.size(), 0);
+    std::vector<double> first_start(classes.size(), std::numeric_limits<double>::infinity());
+    std::vector<std::vector<uint32_t>> numbers(classes.size());
+    for (const Assignment& a : map.assignments) {
+      const Waiter& w = waiters_[begin + a.task_class];
+      if (a.start > kNow) {
+        const wire::Flavor* f = context_.FindFlavor(machines_[a.machine]->flavor);
+        if (a.start < kWorthRenting * f->ready_s) ++later[a.task_class];
+        first_start[a.task_class] = std::min(first_start[a.task_class], a.start);
+        continue;
+      }
+      auto& list = numbers[a.task_class];
+      if (list.empty()) list = ledger_.Waiting(*w.job, w.count);
+      jobs::Mutation m;
+      m.kind = jobs::Mutation::Kind::kPlace;
+      m.task = {w.job->spec.id, list.at(started[a.task_class]++)};
+      m.attempt = ledger_.NextAttempt(*w.job, m.task.index);
+      m.machine = machines_[a.machine]->name;
+      result_.places.push_back(std::move(m));
+    }
+    for (size_t c = 0; c < classes.size(); ++c) {
+      const Waiter& w = waiters_[begin + c];
+      const size_t unmet = w.count - started[c] - later[c];
+      if (unmet > 0) AddWant(w, unmet);
+      if (w.count > started[c]) Preempt(w, classes[c], w.count - started[c], first_start[c]);
+    }
+    return map.assignments.size();
+  }
+
+  void AddWant(const Waiter& w, size_t tasks) {
+    const wire::JobSpec& spec = w.job->spec;
+    const Room need = NeedOf(spec);
+    const wire::Flavor* best = nullptr;
+    double best_price = 0, best_fit = 0;
+    for (const wire::Flavor& f : context_.flavors) {
+      const bool listed = spec.flavors.empty() || std::find(spec.flavors.begin(),
+                                                            spec.flavors.end(),
+                                                            f.name) != spec.flavors.end();
+      if (!listed || !Room{f.cpus, f.gpus, f.memory_gb}.Fits(need)) continue;
+      double fit = 1e6;
+      if (need.cpus > 0) fit = std::min(fit, std::floor(f.cpus / need.cpus + 1e-9));
+      if (need.gpus > 0) fit = std::min(fit, std::floor(f.gpus / need.gpus + 1e-9));
+      if (need.memory_gb > 0) fit = std::min(fit, std::floor(f.memory_gb / need.memory_gb + 1e-9));
+      const double price = (spec.spot ? f.spot_price : f.price) / fit;
+      if (best == nullptr || price < best_price) {
+        best = &f;
+        best_price = price;
+        best_fit = fit;
+      }
+    }
+    if (best == nullptr) return;
+    result_.wants.push_back(
+        {best->name, spec.zone, spec.spot, static_cast<double>(tasks) / best_fit});
+  }
+
+  bool MayStop(const Waiter& w, const jobs::Job& victim) const {
+    if (victim.spec.urgency > w.job->spec.urgency) return true;
+    return w.guaranteed && victim.spec.team != w.job->spec.team && !guaranteed_.contains(&victim);
+  }
+
+  // Work that would be lost, in seconds.
+  double Loss(const jobs::Job& job, const fleet::Held& held, double grace) const {
+    const double ran = now_ - held.since;
+    if (job.spec.snapshot_every_s <= 0) return ran;
+    return grace > 0 ? job.spec.snapshot_s : std::fmod(ran, job.spec.snapshot_every_s);
+  }
+
+  // Stops work of lower rank where that lets tasks start clearly sooner than waiting would.
+  void Preempt(const Waiter& w, const TaskClass& tc, size_t tasks, double first_start) {
+    const bool urgent = w.job->spec.urgency <= wire::Urgency::kUrgent;
+    if (!urgent && !w.guaranteed) return;
+    const double report = context_.settings->report_s;
+    for (size_t n = 0; n < tasks; ++n) {
+      double best_cost = std::numeric_limits<double>::infinity();
+      std::vector<Preemption> best;
+      for (size_t i = 0; i < machines_.size(); ++i) {
+        if (tc.run_s[i] < 0 || !roster_.Usable(*machines_[i], now_)) continue;
+        const fleet::Machine& m = *machines_[i];
+        std::vector<std::tuple<double, wire::TaskId, uint64_t, double, Room>> victims;
+        for (const auto& [task, attempt] : ledger_.On(m.name)) {
+          const jobs::Job* job = ledger_.Find(task.job);
+          auto held = m.held.find(task);
+          if (job == nullptr || held == m.held.end() || held->second.attempt != attempt ||
+              held->second.state != wire::PieceState::kRunning || !MayStop(w, *job) ||
+              roster_.Stopping(task, attempt) || stopped_.contains(task)) {
+            continue;
+          }
+          const bool prompt = context_.prompt_lanes.contains(w.job->spec.lane);
+          const bool saves = job->spec.snapshot_every_s > 0 && !prompt;
+          const double grace = saves ? job->spec.snapshot_s : 0;
+          if (grace + kStopReports * report + report > first_start) continue;
+          victims.emplace_back(Loss(*job, held->second, grace), task, attempt, grace,
+                               NeedOf(job->spec));
+        }
+        std::sort(victims.begin(), victims.end(),
+                  [](const auto& a, const auto& b) { return std::get<0>(a) < std::get<0>(b); });
+        Room room = slots_[i].timeline.now();
+        double cost = 0;
+        std::vector<Preemption> chosen;
+        for (const auto& [loss, task, attempt, grace, need] : victims) {
+          if (room.Fits(tc.need)) break;
+          room += need;
+          cost += loss;
+          chosen.push_back({task, attempt, grace});
+        }
+        if (chosen.empty() || !room.Fits(tc.need) || cost >= best_cost) continue;
+        best_cost = cost;
+        best = std::move(chosen);
+      }
+      if (best.empty()) return;
+      for (const Preemption& p : best) {
+        stopped_.insert(p.task);
+        result_.preemptions.push_back(p);
+      }
+    }
+  }
+
+  Context& context_;
+  const jobs::Ledger& ledger_;
+  const fleet::Roster& roster_;
+  const double now_;
+  std::vector<const jobs::Job*> jobs_;
+  std::set<const jobs::Job*> guaranteed_;
+  std::vector<Waiter> waiters_;
+  std::map<std::string, size_t> zones_;
+  std::vector<const fleet::Machine*> machines_;
+  std::vector<Slots> slots_;
+  std::set<wire::TaskId> stopped_;
+  double total_cpus_ = 0;
+  RoundResult result_;
+};
+
+}  // namespace
+
+const wire::Flavor* Context::FindFlavor(const std::string& name) const {
+  for (const wire::Flavor& f : flavors) {
+    if (f.name == name) return &f;
+  }
+  return nullptr;
+}
+
+double PredictRun(const jobs::Job& job, const std::string& flavor) {
+  constexpr double kUntilCancelled = 1e5;
+  if (job.spec.shape == wire::Shape::kStanding) return kUntilCancelled;
+  if (auto mean = job.MeanRun(flavor)) return *mean;
+  if (auto mean = job.MeanRun()) return *mean;
+  return job.spec.estimate_s;
+}
+
+RoundResult PlanRound(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster,
+                      double now) {
+  return Round(context, ledger, roster, now).Run();
+}
+
+}  // namespace hallpier::plan
--- /dev/null
+++ b/src/store/client.cc
@@ -0,0 +1,171 @@
+#include "store/client.h"
+
+#include <spdlog/spdlog.h>
+
+namespace hallpier::store {
+namespace {
+
+// A node of several leaves this much of its share unused: the others' clocks are not ours.
+constexpr double kShareUsed = 0.9;
+constexpr double kReserve = 0.25;
+// The leader's part of all writes; the rest is for the others' submissions and cancellations.
+constexpr double kLeaderShare = 0.6;
+// Requests wait for their budget no longer than this part of a call's time limit.
+constexpr double kQueueRatio = 0.8;
+
+template <class T>
+Result<T> Failed(const std::optional<wire::HttpResponse>& r) {
+  if (!r) return {Status::kUnknown};
+  switch (r->status) {
+    case 404: return {Status::kNotFound};
+    case 409: return {Status::kConflict};
+    case 410: return {Status::kGone};
+    case 429:
+    case 503: return {Status::kRefused};
+    case 400: return {Status::kInvalid};
+    default: return {Status::kUnknown};
+  }
+}
+
+template <class T>
+Result<T> Made(std::optional<T> value) {
+  if (!value) return {Status::kUnknown};
+  return {Status::kOk, std::move(*value)};
+}
+
+}  // namespace
+
+Client::Client(rt::Scope& scope, Options options)
+    : scope_(scope),
+      options_(std::move(options)),
+      http_(16, options_.max_body),
+      requests_(options_.rps * kShareUsed / options_.size, 1.0, kReserve),
+      writes_(options_.write_rps * kShareUsed / options_.size, 1.0, kReserve) {}
+
+void Client::SetLeading(bool leading) {
+  if (options_.size <= 1) return;
+  const double share =
+      kShareUsed * (leading ? kLeaderShare : (1 - kLeaderShare) / (options_.size - 1));
+  requests_.SetRate(options_.rps * share, 1.0);
+  writes_.SetRate(options_.write_rps * share, 1.0);
+}
+
+void Client::Note(bool good) {
+  if (good) {
+    if (failures_ >= 2) {
+      spdlog::info("state service answers again after {} failures", failures_);
+    }
+    failures_ = 0;
+    last_good_ = scope_.loop().Now();
+  } else {
+    if (++failures_ == 2) spdlog::warn("state service does not answer");
+    last_bad_ = scope_.loop().Now();
+  }
+}
+
+rt::Task<std::optional<wire::HttpResponse>> Client::Direct(wire::HttpRequest request) {
+  const bool repeatable = request.method == "GET";
+  auto r = co_await http_.Call(scope_, options_.endpoint, std::move(request), options_.timeout_s,
+                               repeatable);
+  co_return r;
+}
+
+rt::Task<std::optional<wire::HttpResponse>> Client::Call(wire::HttpRequest request, double writes,
+                                                         Urgent urgent, double timeout_s) {
+  const double most = options_.timeout_s * kQueueRatio;
+  double wait = requests_.Take(scope_.loop().Now(), 1, urgent, most);
+  if (wait >= 0 && writes > 0) {
+    double w = writes_.Take(scope_.loop().Now(), writes, urgent, most);
+    wait = w < 0 ? w : std::max(wait, w);
+  }
+  if (wait < 0) {
+    spdlog::debug("state budget is used up: {} {}", request.method, request.target);
+    co_return wire::HttpResponse{.status = 429, .body = {}};
+  }
+  if (wait > 0) {
+    rt::Sleep pause(scope_, wait);
+    co_await pause;
+  }
+  const bool repeatable = request.method == "GET";
+  const bool by_peer = relay_ && down();
+  std::optional<wire::HttpResponse> r = co_await http_.Call(
+      scope_, options_.endpoint, request, timeout_s, repeatable);
+  Note(r && r->status != 503 && r->status != 429);
+  // Only what was surely not executed may go another way.
+  if (by_peer && r && r->status == 503) {
+    std::optional<wire::HttpResponse> other = co_await relay_(std::move(request));
+    if (other) co_return other;
+  }
+  co_return r;
+}
+
+rt::Task<Result<wire::Entry>> Client::Get(std::string key, Urgent urgent) {
+  wire::HttpRequest q{.method = "GET", .target = "/store/" + key, .body = {}};
+  auto r = co_await Call(std::move(q), 0, urgent, options_.timeout_s);
+  if (!r || r->status != 200) co_return Failed<wire::Entry>(r);
+  co_return Made(wire::ReadEntry(r->body));
+}
+
+rt::Task<Result<wire::EntryList>> Client::List(std::string prefix, std::string after) {
+  std::string target = "/store?starts=" + wire::EscapeQuery(prefix) + "&limit=1000";
+  if (!after.empty()) target += "&from=" + wire::EscapeQuery(after);
+  wire::HttpRequest q{.method = "GET", .target = std::move(target), .body = {}};
+  // A full page takes a small machine longer to read than a single value does.
+  auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s * 5);
+  if (!r || r->status != 200) co_return Failed<wire::EntryList>(r);
+  co_return Made(wire::ReadEntryList(r->body));
+}
+
+rt::Task<Result<Client::TxnOutcome>> Client::Txn(std::vector<wire::Guard> guards,
+                                                 std::vector<wire::Write> writes, Urgent urgent) {
+  wire::HttpRequest q{
+      .method = "POST", .target = "/txn", .body = wire::WriteTxn(guards, writes)};
+  auto r = co_await Call(std::move(q), static_cast<double>(writes.size()), urgent,
+                         options_.timeout_s);
+  if (r && r->status == 409) {
+    co_return Result<TxnOutcome>{Status::kConflict, {0, wire::ReadFailed(r->body)}};
+  }
+  if (!r || r->status != 200) co_return Failed<TxnOutcome>(r);
+  auto revision = wire::ReadRevision(r->body);
+  if (!revision) co_return Result<TxnOutcome>{Status::kUnknown};
+  co_return Result<TxnOutcome>{Status::kOk, {*revision, {}}};
+}
+
+rt::Task<Result<uint64_t>> Client::Grant(double ttl_s) {
+  wire::HttpRequest q{.method = "POST", .target = "/holds", .body = wire::WriteHold(ttl_s)};
+  auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s);
+  if (!r || r->status != 200) co_return Failed<uint64_t>(r);
+  co_return Made(wire::ReadPermit(r->body));
+}
+
+rt::Task<Result<bool>> Client::Extend(uint64_t permit) {
+  wire::HttpRequest q{
+      .method = "POST", .target = "/holds/" + std::to_string(permit) + "/extend", .body = "{}"};
+  auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s);
+  if (!r || r->status != 200) co_return Failed<bool>(r);
+  co_return Result<bool>{Status::kOk, true};
+}
+
+rt::Task<Result<bool>> Client::End(uint64_t permit) {
+  wire::HttpRequest q{
+      .method = "DELETE", .target = "/holds/" + std::to_string(permit), .body = {}};
+  auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s);
+  if (!r || (r->status != 200 && r->status != 204 && r->status != 404)) {
+    co_return Failed<bool>(r);
+  }
+  co_return Result<bool>{Status::kOk, true};
+}
+
+rt::Task<Result<wire::ChangeList>> Client::Follow(std::string prefix, uint64_t revision,
+                                                  double block_s) {
+  wire::HttpRequest q{.method = "GET",
+                      .target = "/follow?starts=" + wire::EscapeQuery(prefix) +
+                                "&from=" + std::to_string(revision) +
+                                "&blockMs=" + std::to_string(static_cast<int>(block_s * 1000)),
+                      .body = {}};
+  auto r = co_await Call(std::move(q), 0, Urgent::kYes, block_s + options_.timeout_s);
+  if (!r || r->status != 200) co_return Failed<wire::ChangeList>(r);
+  co_return Made(wire::ReadChanges(r->body));
+}
+
+}  // namespace hallpier::store
--- /dev/null
+++ b/src/store/client.h
@@ -0,0 +1,90 @@
+// The state service's client: budgeted calls, each with a time limit.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "store/budget.h"
+#include "wire/messages.h"
+
+namespace hallpier::store {
+
+enum class Status {
+  kOk,
+  kNotFound,
+  kConflict,  // a guard did not hold: nothing was written
+  kRefused,   // not executed
+  kUnknown,   // no answer: executed, or not, or to be executed later
+  kGone,      // the watch's revision is too old
+  kInvalid,   // the service calls the request malformed, or the lease ended
+};
+
+template <class T>
+struct Result {
+  Status status = Status::kUnknown;
+  T value = {};
+  bool ok() const { return status == Status::kOk; }
+};
+
+class Client {
+ public:
+  struct Options {
+    std::string endpoint;
+    double rps = 0;
+    double write_rps = 0;
+    int size = 1;          // nodes that share the limits
+    double timeout_s = 1;  // of one call
+    size_t max_body = 0;
+  };
+  // How a request reaches the service when this node is refused: by way of a peer, if set.
+  using Relay = std::function<rt::Task<std::optional<wire::HttpResponse>>(wire::HttpRequest)>;
+
+  Client(rt::Scope& scope, Options options);
+
+  // The leader writes more than the others; each takes its share of what all may use.
+  void SetLeading(bool leading);
+  void SetRelay(Relay relay) { relay_ = std::move(relay); }
+
+  rt::Task<Result<wire::Entry>> Get(std::string key, Urgent urgent = Urgent::kNo);
+  rt::Task<Result<wire::EntryList>> List(std::string prefix, std::string after);
+  // The revision, or with kConflict the keys whose guards did not hold.
+  struct TxnOutcome {
+    uint64_t revision = 0;
+    std::vector<std::string> failed;
+  };
+  rt::Task<Result<TxnOutcome>> Txn(std::vector<wire::Guard> guards, std::vector<wire::Write> writes,
+                                   Urgent urgent = Urgent::kNo);
+  rt::Task<Result<uint64_t>> Grant(double ttl_s);
+  rt::Task<Result<bool>> Extend(uint64_t permit);
+  rt::Task<Result<bool>> End(uint64_t permit);
+  rt::Task<Result<wire::ChangeList>> Follow(std::string prefix, uint64_t revision, double block_s);
+
+  // Steady time of the last answer that was no refusal; the time of the last refusal or silence.
+  double last_good() const { return last_good_; }
+  double last_bad() const { return last_bad_; }
+  // True while the newest calls went unanswered or refused.
+  bool down() const { return failures_ >= 2; }
+  // Executes a peer's request here, without relaying it any further.
+  rt::Task<std::optional<wire::HttpResponse>> Direct(wire::HttpRequest request);
+
+ private:
+  rt::Task<std::optional<wire::HttpResponse>> Call(wire::HttpRequest request, double writes,
+                                                   Urgent urgent, double timeout_s);
+  void Note(bool good);
+
+  rt::Scope& scope_;
+  const Options options_;
+  net::HttpClient http_;
+  Budget requests_;
+  Budget writes_;
+  Relay relay_;
+  double last_good_ = -1;
+  double last_bad_ = -1;
+  int failures_ = 0;
+};
+
+}  // namespace hallpier::store
--- /dev/null
+++ b/src/store/replica.cc
@@ -0,0 +1,92 @@
+#include "store/replica.h"
+
+#include <spdlog/spdlog.h>
+
+#include <unordered_set>
+
+namespace hallpier::store {
+namespace {
+constexpr double kRetryS = 0.25;
+}  // namespace
+
+Replica::Replica(rt::Scope& scope, Client& client, double block_s, Sink sink)
+    : scope_(scope), client_(client), block_s_(block_s), sink_(std::move(sink)) {}
+
+uint64_t Replica::Stamp(const std::string& key) const {
+  auto it = stamps_.find(key);
+  return it == stamps_.end() ? 0 : it->second;
+}
+
+void Replica::Apply(const std::string& key, const std::string& value, uint64_t stamp) {
+  if (auto it = dropped_.find(key); it != dropped_.end() && stamp <= it->second) return;
+  auto known = stamps_.find(key);
+  if (known != stamps_.end() && stamp <= known->second) return;
+  if (value.empty()) {
+    dropped_[key] = stamp;
+    if (known == stamps_.end()) return;
+    stamps_.erase(known);
+  } else {
+    stamps_[key] = stamp;
+  }
+  sink_(key, value);
+}
+
+rt::Task<bool> Replica::Load() {
+  std::unordered_set<std::string> seen;
+  std::string after;
+  uint64_t first = 0;
+  while (true) {
+    auto page = co_await client_.List(std::string(kActive), after);
+    if (!page.ok()) co_return false;
+    // Pages are of different moments: the watch goes on from the first, and repeats do no harm.
+    if (first == 0) first = page.value.revision;
+    for (const auto& e : page.value.entries) {
+      Apply(e.key, e.value, e.stamp);
+      seen.insert(e.key);
+      after = e.key;
+    }
+    if (!page.value.more || page.value.entries.empty()) break;
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, stamp] : stamps_) {
+    if (stamp <= first && !seen.contains(key)) gone.push_back(key);
+  }
+  for (const auto& key : gone) Apply(key, "", first);
+  revision_ = first;
+  co_return true;
+}
+
+rt::Task<> Replica::Run() {
+  bool fresh = false;
+  while (!scope_.cancelled()) {
+    if (!fresh) {
+      fresh = co_await Load();
+      if (fresh) {
+        loaded_ = true;
+        last_heard_ = scope_.loop().Now();
+        spdlog::info("state loaded at revision {}: {} keys", revision_, stamps_.size());
+        changed_.Notify();
+      } else {
+        rt::Sleep pause(scope_, kRetryS);
+        co_await pause;
+        continue;
+      }
+    }
+    auto news = co_await client_.Follow(std::string(kActive), revision_, block_s_);
+    if (news.ok()) {
+      last_heard_ = scope_.loop().Now();
+      for (const auto& c : news.value.changes) Apply(c.key, c.value, c.stamp);
+      revision_ = std::max(revision_, news.value.revision);
+      std::erase_if(dropped_, [&](const auto& d) { return d.second <= revision_; });
+      if (!news.value.changes.empty()) changed_.Notify();
+      rt::Sleep pause(scope_, gap_s_);
+      co_await pause;
+      continue;
+    }
+    if (news.status == Status::kGone) fresh = false;
+    rt::Sleep pause(scope_, kRetryS);
+    co_await pause;
+  }
+}
+
+}  // namespace hallpier::store
--- /dev/null
+++ b/src/store/replica.h
@@ -0,0 +1,56 @@
+// A warm copy of everything under kActive, followed by one watch.
+//
+// Own commits are applied at once; the watch then repeats them, and may still bring older changes
+// of the same keys. Per key only what is newer than the known stamp counts, drops included.
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "rt/loop.h"
+#include "store/client.h"
+#include "store/schema.h"
+
+namespace hallpier::store {
+
+class Replica {
+ public:
+  // Told of every change that counts. An empty value: the key was dropped.
+  using Sink = std::function<void(const std::string& key, const std::string& value)>;
+
+  // A watch is asked anew after `block_s`, so that a cut is noticed within about that time.
+  Replica(rt::Scope& scope, Client& client, double block_s, Sink sink);
+
+  // The routine that loads and follows, for as long as its scope lives.
+  rt::Task<> Run();
+  // Waits between two answers of the watch: short for the leader, longer for the others.
+  void SetGap(double seconds) { gap_s_ = seconds; }
+
+  bool loaded() const { return loaded_; }
+  uint64_t revision() const { return revision_; }
+  uint64_t Stamp(const std::string& key) const;
+  // Steady time of the watch's last answer.
+  double last_heard() const { return last_heard_; }
+  rt::Event& changed() { return changed_; }
+
+  void Apply(const std::string& key, const std::string& value, uint64_t stamp);
+
+ private:
+  rt::Task<bool> Load();
+
+  rt::Scope& scope_;
+  Client& client_;
+  const double block_s_;
+  Sink sink_;
+  bool loaded_ = false;
+  uint64_t revision_ = 0;
+  double last_heard_ = -1;
+  double gap_s_ = 0.05;
+  std::unordered_map<std::string, uint64_t> stamps_;
+  // Keys dropped ahead of the watch, until it has passed that revision.
+  std::unordered_map<std::string, uint64_t> dropped_;
+  rt::Event changed_;
+};
+
+}  // namespace hallpier::store
