--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -304,15 +304,14 @@
 }
 
 rt::Task<> Duties::CloudLoop(rt::Scope& term) {
-  const double period = std::max(1 / (kListShare * d_.settings->cloud_rps),
-                                 d_.settings->report_s / 3);
+  const double period =
+      std::max(1 / (kListShare * d_.settings->cloud_rps), d_.settings->report_s / 3);
   while (!term.cancelled()) {
     co_await LearnFlavors(term);
     bool listed = co_await ListMachines(term);
     if (term.cancelled()) break;
     const double now = term.loop().Now();
-    const bool heard =
-        renter_.Review(roster_, *d_.ledger, context_, !wants_.empty(), now);
+    const bool heard = renter_.Review(roster_, *d_.ledger, context_, !wants_.empty(), now);
     if (!heard) {
       d_.leadership->Resign(kResignRatio * d_.settings->lease_s, "most workers are silent");
       break;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -71,9 +71,9 @@
     return *v;
   }
 
-  const toml::table& Table(const char* path) {
+  const toml::table& Table(const char* path, bool required = true) {
     if (const toml::table* t = root_.at_path(path).as_table()) return *t;
-    Fault(path, "missing section");
+    if (required) Fault(path, "missing section");
     static const toml::table kEmpty;
     return kEmpty;
   }
@@ -163,11 +163,11 @@
   const toml::table& cloud = r.Table("params.cloud");
   s.cloud_rps = r.Number(cloud, "params.cloud.", "rps", 0.01);
   s.list_lag_s = r.Number(cloud, "params.cloud.", "list_lag_s", 0);
-  const toml::table& limits = r.Table("params.machine_limits");
+  const toml::table& limits = r.Table("params.machine_limits", false);
   s.core_share = r.Number(limits, "params.machine_limits.", "core_share", 0.001, 1.0);
   s.memory_mb = r.Number(limits, "params.machine_limits.", "memory_mb", 16, 256.0);
-  s.max_sockets = static_cast<int>(r.Number(limits, "params.machine_limits.", "max_sockets", 16,
-                                            1000.0));
+  s.max_sockets =
+      static_cast<int>(r.Number(limits, "params.machine_limits.", "max_sockets", 16, 1000.0));
   return s;
 }
 
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -91,8 +91,8 @@
   m.reclaim_at = r.reclaim_s ? now + *r.reclaim_s : std::numeric_limits<double>::infinity();
   const auto before = m.held;
   TakePieces(m, r, now);
-  bool changed = first || moved_on || had_notice != r.reclaim_s.has_value() ||
-                 before.size() != m.held.size();
+  bool changed =
+      first || moved_on || had_notice != r.reclaim_s.has_value() || before.size() != m.held.size();
   for (const auto& [task, h] : m.held) {
     auto old = before.find(task);
     changed = changed || old == before.end() || old->second.state != h.state ||
@@ -210,8 +210,7 @@
 bool Roster::Unwanted(const Machine& m, const wire::TaskId& task, uint64_t attempt,
                       const jobs::Ledger& ledger) const {
   const jobs::Job* job = ledger.Find(task.job);
-  return m.returning || m.noticed() || Stopping(task, attempt) || job == nullptr ||
-         job->cancelled;
+  return m.returning || m.noticed() || Stopping(task, attempt) || job == nullptr || job->cancelled;
 }
 
 std::vector<wire::Order> Roster::Orders(Machine& m, const jobs::Ledger& ledger, bool direct) {
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -21,9 +21,9 @@
   uint64_t attempt = 0;
   wire::PieceState state = wire::PieceState::kFetching;
   wire::Cause cause = wire::Cause::kNone;
-  double since = 0;          // steady time of the first report of this state
-  bool seen_start = false;   // we saw it start to run, so that `since` tells the run time
-  double run_s = 0;          // of an exited task, if known
+  double since = 0;         // steady time of the first report of this state
+  bool seen_start = false;  // we saw it start to run, so that `since` tells the run time
+  double run_s = 0;         // of an exited task, if known
 };
 
 // The newest start order for a task under our token.
@@ -31,9 +31,9 @@
   uint64_t attempt = 0;
   uint64_t token = 0;
   uint64_t tenure = 0;
-  uint64_t tick = 0;   // the report that it answered, or the report that confirmed it
-  int open = 0;        // direct commands with it that are under way
-  bool lost = false;   // one of them got no answer: it may be executed at any time
+  uint64_t tick = 0;  // the report that it answered, or the report that confirmed it
+  int open = 0;       // direct commands with it that are under way
+  bool lost = false;  // one of them got no answer: it may be executed at any time
   bool loose() const { return lost || open > 0; }
 };
 
@@ -63,7 +63,7 @@
   bool returning = false;  // to be returned, or asked to be: never used again
   std::string why_returning;
   std::map<std::string, int> errors;  // by job, since the last success here
-  double slowness = 1;               // observed run times / predicted ones
+  double slowness = 1;                // observed run times / predicted ones
   int slow_samples = 0;
   double idle_since = 0;
 
--- a/src/jobs/batch.h
+++ b/src/jobs/batch.h
@@ -12,8 +12,8 @@
 struct Txn {
   std::vector<wire::Guard> guards;
   std::vector<wire::Write> writes;
-  bool urgent = false;                  // holds completions or releases
-  std::vector<std::string> machines;    // that got a new placement in it
+  bool urgent = false;                // holds completions or releases
+  std::vector<std::string> machines;  // that got a new placement in it
 };
 
 struct BatchLimits {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -21,9 +21,9 @@
   s.id = spec.id;
   s.done = done();
   s.running = placed();
-  s.phase = cancelled         ? wire::Phase::kCancelled
+  s.phase = cancelled        ? wire::Phase::kCancelled
             : s.running != 0 ? wire::Phase::kRunning
-                              : wire::Phase::kPending;
+                             : wire::Phase::kPending;
   return s;
 }
 
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -36,8 +36,8 @@
   wire::TaskId task;
   uint64_t attempt = 0;
   std::string machine;
-  double run_s = 0;     // kDone: 0 if unknown
-  std::string flavor;   // kDone
+  double run_s = 0;    // kDone: 0 if unknown
+  std::string flavor;  // kDone
 };
 
 class Ledger {
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -21,9 +21,9 @@
 double Leadership::ttl() const { return operators_.leader_ttl_ratio * settings_.report_s; }
 
 bool Leadership::Entitled() const {
-  // Without the state service we can't know whether another node leads. Answers go on for a set part
-  // of the workers' lease, which a successor waits for (others_until) before it trusts a lease's
-  // end; that carries running tasks through an outage.
+  // Without the state service we can't know whether another node leads. Answers go on for a set
+  // part of the workers' lease, which a successor waits for (others_until) before it trusts a
+  // lease's end; that carries running tasks through an outage.
   const double blind = operators_.blind_ratio * settings_.lease_s;
   return leading() && !lost_ && scope_.loop().Now() < last_renewed_ + blind;
 }
@@ -55,8 +55,7 @@
 
 rt::Task<bool> Leadership::Fence() {
   std::vector<wire::Guard> guards = {{store::BlockKey(0), token_}};
-  std::vector<wire::Write> writes = {
-      {store::BlockKey(0), store::WriteBlock(settings_.node), 0}};
+  std::vector<wire::Write> writes = {{store::BlockKey(0), store::WriteBlock(settings_.node), 0}};
   auto r = co_await client_.Txn(std::move(guards), writes, store::Urgent::kYes);
   if (!r.ok()) co_return false;
   token_ = r.value.revision;
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -100,8 +100,8 @@
       if (f == nullptr) continue;
       const Room capacity{f->cpus, f->gpus, f->memory_gb};
       const bool usable = roster_.Usable(m, now_);
-      const bool coming = !m.reported() && m.booting && !m.returning &&
-                          now_ - m.rented_at < 2 * f->ready_s;
+      const bool coming =
+          !m.reported() && m.booting && !m.returning && now_ - m.rented_at < 2 * f->ready_s;
       if (!usable && !coming) continue;
       Slots slots{Timeline(usable ? capacity : Room{}), ZoneIndex(m.zone)};
       if (coming) {
@@ -280,9 +280,9 @@
     const wire::Flavor* best = nullptr;
     double best_price = 0, best_fit = 0;
     for (const wire::Flavor& f : context_.flavors) {
-      const bool listed = spec.flavors.empty() || std::find(spec.flavors.begin(),
-                                                            spec.flavors.end(),
-                                                            f.name) != spec.flavors.end();
+      const bool listed =
+          spec.flavors.empty() ||
+          std::find(spec.flavors.begin(), spec.flavors.end(), f.name) != spec.flavors.end();
       if (!listed || !Room{f.cpus, f.gpus, f.memory_gb}.Fits(need)) continue;
       double fit = 1e6;
       if (need.cpus > 0) fit = std::min(fit, std::floor(f.cpus / need.cpus + 1e-9));
--- a/src/rt/loop.h
+++ b/src/rt/loop.h
@@ -30,7 +30,9 @@
   void Post(std::coroutine_handle<> h) { ready_.push_back(h); }
   // Steady time in seconds.
   double Now() const;
-  struct ev_loop* raw() { return loop_; }
+  struct ev_loop* raw() {
+    return loop_;
+  }
 
  private:
   struct ev_loop* loop_;
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -17,13 +17,19 @@
 Result<T> Failed(const std::optional<wire::HttpResponse>& r) {
   if (!r) return {Status::kUnknown};
   switch (r->status) {
-    case 404: return {Status::kNotFound};
-    case 409: return {Status::kConflict};
-    case 410: return {Status::kGone};
+    case 404:
+      return {Status::kNotFound};
+    case 409:
+      return {Status::kConflict};
+    case 410:
+      return {Status::kGone};
     case 429:
-    case 503: return {Status::kRefused};
-    case 400: return {Status::kInvalid};
-    default: return {Status::kUnknown};
+    case 503:
+      return {Status::kRefused};
+    case 400:
+      return {Status::kInvalid};
+    default:
+      return {Status::kUnknown};
   }
 }
 
@@ -88,8 +94,8 @@
   }
   const bool repeatable = request.method == "GET";
   const bool by_peer = relay_ && down();
-  std::optional<wire::HttpResponse> r = co_await http_.Call(
-      scope_, options_.endpoint, request, timeout_s, repeatable);
+  std::optional<wire::HttpResponse> r =
+      co_await http_.Call(scope_, options_.endpoint, request, timeout_s, repeatable);
   Note(r && r->status != 503 && r->status != 429);
   // Only what was surely not executed may go another way.
   if (by_peer && r && r->status == 503) {
@@ -118,10 +124,9 @@
 
 rt::Task<Result<Client::TxnOutcome>> Client::Txn(std::vector<wire::Guard> guards,
                                                  std::vector<wire::Write> writes, Urgent urgent) {
-  wire::HttpRequest q{
-      .method = "POST", .target = "/txn", .body = wire::WriteTxn(guards, writes)};
-  auto r = co_await Call(std::move(q), static_cast<double>(writes.size()), urgent,
-                         options_.timeout_s);
+  wire::HttpRequest q{.method = "POST", .target = "/txn", .body = wire::WriteTxn(guards, writes)};
+  auto r =
+      co_await Call(std::move(q), static_cast<double>(writes.size()), urgent, options_.timeout_s);
   if (r && r->status == 409) {
     co_return Result<TxnOutcome>{Status::kConflict, {0, wire::ReadFailed(r->body)}};
   }
@@ -147,8 +152,7 @@
 }
 
 rt::Task<Result<bool>> Client::End(uint64_t permit) {
-  wire::HttpRequest q{
-      .method = "DELETE", .target = "/holds/" + std::to_string(permit), .body = {}};
+  wire::HttpRequest q{.method = "DELETE", .target = "/holds/" + std::to_string(permit), .body = {}};
   auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s);
   if (!r || (r->status != 200 && r->status != 204 && r->status != 404)) {
     co_return Failed<bool>(r);
--- a/src/wire/http.cc
+++ b/src/wire/http.cc
@@ -48,19 +48,32 @@
 
 std::string_view Reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -166,8 +179,7 @@
   while (eol != std::string_view::npos) {
     size_t start = eol + 2;
     eol = head.find("\r\n", start);
-    std::string_view line =
-        head.substr(start, eol == std::string_view::npos ? eol : eol - start);
+    std::string_view line = head.substr(start, eol == std::string_view::npos ? eol : eol - start);
     if (!ParseHeader(line)) return Fail(400);
   }
   if (chunked_ && has_length_) return Fail(400);
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -42,7 +42,7 @@
 inline std::optional<rapidjson::Document> ParseObject(std::string_view text) {
   rapidjson::Document d;
   d.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(text.data(),
-                                                                                 text.size());
+                                                                                  text.size());
   if (d.HasParseError() || !d.IsObject()) return std::nullopt;
   return d;
 }
--- /dev/null
+++ b/tests/jobs_test.cc
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+
+#include "fixtures.h"
+#include "jobs/batch.h"
+#include "store/budget.h"
+
+namespace hallpier::jobs {
+namespace {
+
+using namespace testing_support;
+using Kind = Mutation::Kind;
+
+uint64_t NoStamp(const std::string&) { return 0; }
+
+Mutation Make(Kind kind, uint32_t index, uint64_t attempt, const std::string& machine) {
+  Mutation m;
+  m.kind = kind;
+  m.task = {"run-1", index};
+  m.attempt = attempt;
+  m.machine = machine;
+  return m;
+}
+
+const BatchLimits kLimits = {8, "block", 5};
+
+TEST(IndexSet, MergesRanges) {
+  store::IndexSet s;
+  for (uint32_t i : {5u, 3u, 4u, 9u, 3u}) s.Insert(i);
+  EXPECT_EQ(s.size(), 4u);
+  EXPECT_EQ(s.ranges(), (std::map<uint32_t, uint32_t>{{3, 5}, {9, 9}}));
+  EXPECT_TRUE(s.Contains(4));
+  EXPECT_FALSE(s.Contains(6));
+}
+
+TEST(Records, SurviveARoundTripAndRefuseNonsense) {
+  store::Shard s;
+  s.done.Insert(1);
+  s.done.Insert(2);
+  s.open[7] = {3, "vm-1"};
+  s.open[8] = {1, ""};
+  s.runs["c4"] = {2, 20.5};
+  auto back = store::ReadShard(store::WriteShard(s));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->open, s.open);
+  EXPECT_EQ(back->done.size(), 2u);
+  EXPECT_EQ(back->placed(), 1u);
+  EXPECT_EQ(back->runs["c4"].count, 2u);
+  EXPECT_FALSE(store::ReadShard(R"({"done":[1],"open":[]})"));
+  EXPECT_FALSE(store::ReadShard("[]"));
+  EXPECT_FALSE(store::ReadFinal(R"({"phase":"running"})"));
+}
+
+TEST(Records, TheLargestShardFitsItsValue) {
+  const double value_kb = 2;
+  const uint32_t tasks = store::TasksPerShard(value_kb);
+  store::Shard s;
+  for (uint32_t i = 0; i < tasks; ++i) s.open[99000 + i] = {1000000, std::string(60, 'm')};
+  EXPECT_LT(static_cast<double>(store::WriteShard(s).size()), value_kb * 1024);
+}
+
+TEST(Batch, APlacementIsGuardedByBlockJobAndShard) {
+  Ledger ledger(64);
+  PutJob(ledger, Spec("run-1", 4));
+  auto txns = BuildTxns(ledger, {Make(Kind::kPlace, 2, 1, "vm-1")}, kLimits,
+                        [](const std::string& key) { return key.size(); });
+  ASSERT_EQ(txns.size(), 1u);
+  std::map<std::string, uint64_t> guards;
+  for (const auto& g : txns[0].guards) guards[g.key] = g.stamp;
+  const std::string job = store::JobKey("run-1"), shard = store::ShardKey("run-1", 0);
+  EXPECT_EQ(guards, (std::map<std::string, uint64_t>{
+                        {"block", 5}, {job, job.size()}, {shard, shard.size()}}));
+  EXPECT_EQ(txns[0].machines, std::vector<std::string>{"vm-1"});
+}
+
+TEST(Batch, CancelledJobsGetNoPlacement) {
+  Ledger ledger(64);
+  PutJob(ledger, Spec("run-1", 4), 1, true);
+  Place(ledger, "run-1", 0, 1, "vm-1");
+  EXPECT_TRUE(BuildTxns(ledger, {Make(Kind::kPlace, 2, 1, "vm-1")}, kLimits, NoStamp).empty());
+}
+
+TEST(Batch, AnOutcomeOfAnotherAttemptIsLeftOut) {
+  Ledger ledger(64);
+  PutJob(ledger, Spec("run-1", 4));
+  Place(ledger, "run-1", 0, 2, "vm-1");
+  EXPECT_TRUE(BuildTxns(ledger, {Make(Kind::kDone, 0, 1, "vm-1")}, kLimits, NoStamp).empty());
+  EXPECT_TRUE(BuildTxns(ledger, {Make(Kind::kDone, 0, 2, "vm-2")}, kLimits, NoStamp).empty());
+}
+
+TEST(Batch, TheLastTaskMakesTheJobFinalInTheSameTransaction) {
+  Ledger ledger(64);
+  PutJob(ledger, Spec("run-1", 2));
+  store::Shard shard;
+  shard.done.Insert(0);
+  shard.open[1] = {1, "vm-1"};
+  PutShard(ledger, "run-1", 0, shard);
+  auto txns = BuildTxns(ledger, {Make(Kind::kDone, 1, 1, "vm-1")}, kLimits, NoStamp);
+  ASSERT_EQ(txns.size(), 1u);
+  std::map<std::string, std::string> writes;
+  for (const auto& w : txns[0].writes) writes[w.key] = w.value;
+  ASSERT_EQ(writes.size(), 3u);
+  auto final_record = store::ReadFinal(writes[store::FinalKey("run-1")]);
+  ASSERT_TRUE(final_record);
+  EXPECT_EQ(final_record->phase, wire::Phase::kDone);
+  EXPECT_EQ(final_record->done, 2u);
+  EXPECT_EQ(writes[store::JobKey("run-1")], "");
+  EXPECT_EQ(writes[store::ShardKey("run-1", 0)], "");
+}
+
+TEST(Batch, ACancelledJobIsFinalOnlyOnceNothingIsPlaced) {
+  Ledger ledger(64);
+  PutJob(ledger, Spec("run-1", 2), 1, true);
+  Place(ledger, "run-1", 0, 1, "vm-1");
+  EXPECT_TRUE(BuildTxns(ledger, {}, kLimits, NoStamp).empty());
+  auto txns = BuildTxns(ledger, {Make(Kind::kRequeue, 0, 1, "vm-1")}, kLimits, NoStamp);
+  ASSERT_EQ(txns.size(), 1u);
+  auto final_record = store::ReadFinal(txns[0].writes[0].value);
+  ASSERT_TRUE(final_record);
+  EXPECT_EQ(final_record->phase, wire::Phase::kCancelled);
+}
+
+TEST(Batch, TransactionsStayWithinTheLimits) {
+  Ledger ledger(4);
+  std::vector<Mutation> all;
+  PutJob(ledger, Spec("run-1", 400));
+  for (uint32_t i = 0; i < 400; ++i) all.push_back(Make(Kind::kPlace, i, 1, "vm-1"));
+  auto txns = BuildTxns(ledger, all, kLimits, NoStamp);
+  size_t writes = 0;
+  for (const auto& t : txns) {
+    EXPECT_LE(t.writes.size(), 8u);
+    EXPECT_LE(t.guards.size(), 32u);
+    EXPECT_EQ(t.guards[0].key, "block");
+    writes += t.writes.size();
+  }
+  EXPECT_EQ(writes, 100u);
+}
+
+TEST(Ledger, ShardsWithoutTheirJobAreDroppedLater) {
+  Ledger ledger(4);
+  PutJob(ledger, Spec("run-1", 40));
+  Place(ledger, "run-1", 9, 1, "");
+  ledger.Apply(store::ParseKey(store::JobKey("run-1")), "");
+  auto orphans = ledger.Orphans();
+  ASSERT_EQ(orphans.size(), 1u);
+  EXPECT_EQ(orphans[0], store::ShardKey("run-1", 2));
+  ledger.Apply(store::ParseKey(orphans[0]), "");
+  EXPECT_TRUE(ledger.Orphans().empty());
+}
+
+TEST(Ledger, HandsOutTasksInOrderWithGrowingAttempts) {
+  Ledger ledger(4);
+  PutJob(ledger, Spec("run-1", 10));
+  store::Shard shard;
+  shard.done.Insert(0);
+  shard.open[1] = {1, "vm-1"};
+  shard.open[2] = {5, ""};
+  PutShard(ledger, "run-1", 0, shard);
+  const Job& job = *ledger.Find("run-1");
+  EXPECT_EQ(ledger.Waiting(job, 4), (std::vector<uint32_t>{2, 3, 4, 5}));
+  EXPECT_EQ(ledger.NextAttempt(job, 2), 6u);
+  EXPECT_EQ(ledger.NextAttempt(job, 9), 1u);
+  EXPECT_EQ(job.waiting(), 8u);
+}
+
+TEST(Budget, KeepsAReserveForWhatIsUrgent) {
+  store::Budget b(10, 1, 0.3);
+  using store::Urgent;
+  EXPECT_EQ(b.Take(0, 7, Urgent::kNo, 0), 0);
+  EXPECT_LT(b.Take(0, 1, Urgent::kNo, 0), 0);
+  EXPECT_EQ(b.Take(0, 3, Urgent::kYes, 0), 0);
+  EXPECT_NEAR(b.Take(0, 1, Urgent::kYes, 1), 0.1, 1e-9);
+  EXPECT_NEAR(b.Take(0.1, 2, Urgent::kNo, 1), 0.5, 1e-9);
+}
+
+}  // namespace
+}  // namespace hallpier::jobs
--- /dev/null
+++ b/tests/plan_test.cc
@@ -0,0 +1,206 @@
+#include <gtest/gtest.h>
+
+#include "fixtures.h"
+#include "plan/duplex.h"
+#include "plan/round.h"
+
+namespace hallpier::plan {
+namespace {
+
+using namespace testing_support;
+
+TaskClass ClassOf(double cpus, size_t count, std::vector<double> run_s) {
+  TaskClass c;
+  c.need = {cpus, 0, 1};
+  c.count = count;
+  c.run_s = std::move(run_s);
+  return c;
+}
+
+std::vector<Slots> Machines(std::vector<double> cpus) {
+  std::vector<Slots> out;
+  for (double c : cpus) out.push_back({Timeline(Room{c, 0, 100}), 0});
+  return out;
+}
+
+TEST(Timeline, FindsGapsAndEnds) {
+  Timeline t(Room{2, 0, 10});
+  t.Reserve(0, 5, {1, 0, 1});
+  t.Reserve(8, 4, {2, 0, 1});
+  EXPECT_EQ(t.Earliest({1, 0, 1}, 8), 0);
+  EXPECT_EQ(t.Earliest({1, 0, 1}, 9), 12) << "the gap before the second block is too short";
+  EXPECT_EQ(t.Earliest({2, 0, 1}, 3), 5);
+  EXPECT_EQ(t.Earliest({2, 0, 1}, 4), 12);
+  EXPECT_LT(t.Earliest({3, 0, 1}, 1), 0);
+  t.Release(6, {1, 0, 0});
+  EXPECT_EQ(t.Earliest({3, 0, 1}, 1), 6);
+}
+
+// One slot, tasks of 1 and 10 seconds. Min-min: 1 then 10 (delays 0 + 1); min-max: 10 then 1
+// (delays 0 + 10). Run times add up to 11 either way.
+TEST(Duplex, PrefersMinMinWhereShortOnesGoFirst) {
+  auto machines = Machines({1});
+  std::vector<TaskClass> classes = {ClassOf(1, 1, {1}), ClassOf(1, 1, {10})};
+  auto a = machines, b = machines;
+  EXPECT_DOUBLE_EQ(MapTier(Order::kMinMin, classes, a, 10).cost, 12);
+  EXPECT_DOUBLE_EQ(MapTier(Order::kMinMax, classes, b, 10).cost, 21);
+  Map map = Duplex(classes, machines, 10);
+  EXPECT_DOUBLE_EQ(map.cost, 12);
+  EXPECT_EQ(map.assignments[0].task_class, 0u);
+}
+
+// A fast and a slow machine. The short task takes 2 s on either; the long one 3 s on the fast and
+// 30 s on the slow. Min-min gives the fast one to the short task: 2 + (3 run + 2 delay) = 7.
+// Min-max gives it to the long one, the short one goes to the slow machine: 3 + 2 = 5.
+TEST(Duplex, PrefersMinMaxWhereTheLongOneNeedsTheFastMachine) {
+  auto machines = Machines({1, 1});
+  std::vector<TaskClass> classes = {ClassOf(1, 1, {2, 2}), ClassOf(1, 1, {3, 30})};
+  auto a = machines, b = machines;
+  EXPECT_DOUBLE_EQ(MapTier(Order::kMinMin, classes, a, 10).cost, 7);
+  EXPECT_DOUBLE_EQ(MapTier(Order::kMinMax, classes, b, 10).cost, 5);
+  EXPECT_DOUBLE_EQ(Duplex(classes, machines, 10).cost, 5);
+}
+
+TEST(Duplex, KeepsZonesTogetherOrApart) {
+  std::vector<Slots> machines = Machines({2, 2});
+  machines[1].zone = 1;
+  TaskClass together = ClassOf(1, 3, {5, 5});
+  together.one_zone = true;
+  auto m = machines;
+  Map map = Duplex({together}, m, 10);
+  ASSERT_EQ(map.assignments.size(), 3u);
+  for (const auto& a : map.assignments) EXPECT_EQ(a.machine, map.assignments[0].machine);
+  TaskClass apart = ClassOf(1, 3, {5, 5});
+  apart.zone_room = {1, 2};
+  m = machines;
+  map = Duplex({apart}, m, 10);
+  ASSERT_EQ(map.assignments.size(), 3u);
+  EXPECT_EQ(std::count_if(map.assignments.begin(), map.assignments.end(),
+                          [](const Assignment& a) { return a.machine == 0; }),
+            1);
+}
+
+class RoundTest : public testing::Test {
+ protected:
+  RoundTest() : settings_(SettingsOf()), ledger_(64), roster_({3, 30, 3, 4}) {
+    context_.settings = &settings_;
+    context_.operators = &operators_;
+    context_.flavors = {FlavorOf("c4", 4)};
+    roster_.BeginTerm(7, 0, 0);
+  }
+  void AddMachine(const std::string& name) {
+    roster_.OnReport(ReportOf(name, 1, 1, 7), 100, false);
+  }
+  RoundResult Plan() { return PlanRound(context_, ledger_, roster_, 100); }
+  size_t PlacedOf(const RoundResult& r, const std::string& job) {
+    return static_cast<size_t>(std::count_if(r.places.begin(), r.places.end(),
+                                             [&](const auto& p) { return p.task.job == job; }));
+  }
+
+  config::Settings settings_;
+  config::Operator operators_;
+  jobs::Ledger ledger_;
+  fleet::Roster roster_;
+  Context context_;
+};
+
+TEST_F(RoundTest, ATeamsLimitKeepsTasksOut) {
+  settings_.teams = {{"team", 0, 3, 0, 0}};
+  PutJob(ledger_, Spec("run-1", 4));
+  Place(ledger_, "run-1", 0, 1, "vm-elsewhere");  // counts, wherever it may be
+  AddMachine("vm-1");
+  EXPECT_EQ(Plan().places.size(), 2u);
+}
+
+TEST_F(RoundTest, AHigherTierTakesTheRoomFirst) {
+  auto low = Spec("run-1", 4), high = Spec("run-2", 4);
+  low.urgency = wire::Urgency::kBestEffort;
+  high.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, low, 1);
+  PutJob(ledger_, high, 2);
+  AddMachine("vm-1");
+  auto r = Plan();
+  EXPECT_EQ(PlacedOf(r, "run-2"), 4u);
+  EXPECT_EQ(PlacedOf(r, "run-1"), 0u);
+}
+
+TEST_F(RoundTest, ASwarmDoesNotKeepAnotherTeamFromItsGuarantee) {
+  settings_.teams = {{"swarm", 0, 0, 0, 0}, {"team", 2, 0, 0, 0}};
+  auto swarm = Spec("run-1", 100);
+  swarm.team = "swarm";
+  swarm.estimate_s = 1;
+  PutJob(ledger_, swarm, 1);
+  PutJob(ledger_, Spec("run-2", 2), 2);
+  AddMachine("vm-1");
+  auto r = Plan();
+  EXPECT_EQ(PlacedOf(r, "run-2"), 2u);
+  EXPECT_EQ(PlacedOf(r, "run-1"), 2u);
+}
+
+TEST_F(RoundTest, StaysOffMachinesThatAJobDoesNotAllow) {
+  auto spec = Spec("run-1", 8);
+  spec.zone = "b";
+  PutJob(ledger_, spec);
+  AddMachine("vm-1");  // zone a
+  auto r = Plan();
+  EXPECT_TRUE(r.places.empty());
+  ASSERT_EQ(r.wants.size(), 1u);
+  EXPECT_EQ(r.wants[0].zone, "b");
+  EXPECT_DOUBLE_EQ(r.wants[0].machines, 2);
+}
+
+TEST_F(RoundTest, UrgentWorkStopsWhatLosesLeast) {
+  auto low = Spec("run-1", 4);
+  low.urgency = wire::Urgency::kBestEffort;
+  low.estimate_s = 500;
+  PutJob(ledger_, low);
+  wire::Report report = ReportOf("vm-1", 1, 1, 7);
+  for (uint32_t i = 0; i < 4; ++i) {
+    Place(ledger_, "run-1", i, 1, "vm-1");
+    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
+    report.tick = i + 1;
+    roster_.OnReport(report, 60 + i, false);
+  }
+  report.tick = 9;
+  roster_.OnReport(report, 100, false);
+  auto high = Spec("run-2", 1);
+  high.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, high, 2);
+  auto r = Plan();
+  ASSERT_EQ(r.preemptions.size(), 1u);
+  EXPECT_EQ(r.preemptions[0].task.index, 3u) << "it started last";
+  EXPECT_TRUE(r.places.empty()) << "the room is not there yet";
+}
+
+TEST_F(RoundTest, SameRankIsNeverStopped) {
+  auto spec = Spec("run-1", 4);
+  spec.urgency = wire::Urgency::kUrgent;
+  spec.estimate_s = 500;
+  PutJob(ledger_, spec);
+  wire::Report report = ReportOf("vm-1", 1, 1, 7);
+  for (uint32_t i = 0; i < 4; ++i) {
+    Place(ledger_, "run-1", i, 1, "vm-1");
+    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
+  }
+  roster_.OnReport(report, 100, false);
+  auto other = Spec("run-2", 1);
+  other.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, other, 2);
+  EXPECT_TRUE(Plan().preemptions.empty());
+}
+
+TEST_F(RoundTest, PredictsFromTheLearnedMeanOnceThereIsOne) {
+  PutJob(ledger_, Spec("run-1", 4));
+  EXPECT_DOUBLE_EQ(PredictRun(*ledger_.Find("run-1"), "c4"), 10);
+  store::Shard shard;
+  shard.done.Insert(0);
+  shard.runs["c8"] = {2, 12};
+  PutShard(ledger_, "run-1", 0, shard);
+  EXPECT_DOUBLE_EQ(PredictRun(*ledger_.Find("run-1"), "c4"), 6);
+  shard.runs["c4"] = {1, 8};
+  PutShard(ledger_, "run-1", 0, shard);
+  EXPECT_DOUBLE_EQ(PredictRun(*ledger_.Find("run-1"), "c4"), 8);
+}
+
+}  // namespace
+}  // namespace hallpier::plan
--- /dev/null
+++ b/tests/roster_test.cc
@@ -0,0 +1,206 @@
+// A recorded placement counts as alive until it is proven gone: each test is one way to be wrong.
+#include "fleet/roster.h"
+
+#include <gtest/gtest.h>
+
+#include "fixtures.h"
+
+namespace hallpier::fleet {
+namespace {
+
+using namespace testing_support;
+using Kind = jobs::Mutation::Kind;
+
+class RosterTest : public testing::Test {
+ protected:
+  RosterTest() : ledger_(64), roster_({3, 30, 3, 4}) {
+    PutJob(ledger_, Spec("run-1", 4));
+    Place(ledger_, "run-1", 0, 1, "vm-1");
+    roster_.BeginTerm(kToken, 0, 10);
+  }
+
+  std::vector<wire::Order> Checkin(uint64_t tenure, uint64_t tick, uint64_t token, double now,
+                                   std::vector<wire::Piece> pieces = {}) {
+    wire::Report r = ReportOf("vm-1", tenure, tick, token);
+    r.pieces = std::move(pieces);
+    roster_.OnReport(r, now, false);
+    auto orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, false);
+    roster_.OnAnswered("vm-1", now);
+    return orders;
+  }
+
+  bool Freed(double now) {
+    for (const auto& m : roster_.Collect(ledger_, now)) {
+      if (m.kind == Kind::kRequeue) return true;
+    }
+    return false;
+  }
+
+  void Cancel() { PutJob(ledger_, Spec("run-1", 4), 1, true); }
+
+  static constexpr uint64_t kToken = 7;
+  jobs::Ledger ledger_;
+  Roster roster_;
+};
+
+TEST_F(RosterTest, ResendsARecordedStartThatTheWorkerLacks) {
+  auto orders = Checkin(1, 1, 0, 1);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, wire::Verb::kRun);
+  EXPECT_EQ(orders[0].attempt, 1u);
+  EXPECT_FALSE(Freed(2));
+}
+
+TEST_F(RosterTest, AnOldTokensReportProvesNothing) {
+  Cancel();
+  Checkin(1, 1, kToken - 1, 1);
+  EXPECT_FALSE(Freed(1)) << "an old leader's order may still be on its way";
+  Checkin(1, 2, kToken, 2);
+  EXPECT_TRUE(Freed(2));
+}
+
+TEST_F(RosterTest, AnOrderInFlightIsNotDisprovedByTheReportItAnswers) {
+  Checkin(1, 5, kToken, 1);  // answered with the start order
+  Cancel();
+  EXPECT_FALSE(Freed(1));
+  wire::Report direct = ReportOf("vm-1", 1, 6, kToken);
+  roster_.OnReport(direct, 1.5, true);
+  EXPECT_FALSE(Freed(1.5)) << "an answer to /commands may overtake the answer to a report";
+  Checkin(1, 7, kToken, 2);
+  EXPECT_TRUE(Freed(2));
+}
+
+TEST_F(RosterTest, AStaleReportChangesNothing) {
+  Checkin(1, 9, kToken, 1, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  Cancel();
+  Checkin(1, 4, kToken, 60);  // held back for a minute
+  EXPECT_FALSE(Freed(20));
+}
+
+TEST_F(RosterTest, ALostDirectOrderStaysAliveUntilTheSessionEnds) {
+  Checkin(1, 1, kToken, 1,
+          {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kStopped)});
+  Place(ledger_, "run-1", 0, 2, "vm-1");
+  auto orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, true);
+  roster_.FinishDirect("vm-1", orders, kToken, false);
+  Cancel();
+  Checkin(1, 2, kToken, 4);
+  Checkin(1, 3, kToken, 7);
+  EXPECT_FALSE(Freed(7));
+  EXPECT_TRUE(roster_.NeedsFence(ledger_));
+  Checkin(2, 4, kToken, 10);
+  EXPECT_TRUE(Freed(10));
+}
+
+TEST_F(RosterTest, AHigherTokenMakesLostOrdersVoid) {
+  Checkin(1, 1, kToken, 1);
+  auto orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, true);
+  roster_.FinishDirect("vm-1", orders, kToken, false);
+  Cancel();
+  Checkin(1, 2, kToken, 2);
+  roster_.SetToken(kToken + 1);
+  EXPECT_FALSE(Freed(3)) << "the worker has not seen the new token yet";
+  Checkin(1, 3, kToken + 1, 4);
+  EXPECT_TRUE(Freed(4));
+}
+
+TEST_F(RosterTest, DoesNotForgetWhileALostStartMayStillArrive) {
+  Checkin(1, 1, kToken, 1);
+  auto orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, true);
+  roster_.FinishDirect("vm-1", orders, kToken, false);
+  Place(ledger_, "run-1", 0, 1, "");  // its end has been recorded
+  auto answer = Checkin(1, 2, kToken, 2,
+                        {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kStopped)});
+  EXPECT_TRUE(answer.empty()) << "forgotten, a late start order would run the attempt anew";
+}
+
+TEST_F(RosterTest, ForgetsOnlyWhatIsRecorded) {
+  auto done = PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kDone);
+  auto orders = Checkin(1, 1, kToken, 1, {done});
+  EXPECT_TRUE(orders.empty());
+  auto outcomes = roster_.Collect(ledger_, 1);
+  ASSERT_EQ(outcomes.size(), 1u);
+  EXPECT_EQ(outcomes[0].kind, Kind::kDone);
+  store::Shard shard;
+  shard.done.Insert(0);
+  PutShard(ledger_, "run-1", 0, shard);
+  orders = Checkin(1, 2, kToken, 2, {done});
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, wire::Verb::kForget);
+}
+
+TEST_F(RosterTest, ASilentMachineIsFreedOnlyAfterTheLeaseOfTheLastPossibleAnswer) {
+  Checkin(1, 1, kToken, 50, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  EXPECT_FALSE(Freed(80)) << "the lease runs from the answer, by the worker's clock";
+  EXPECT_TRUE(Freed(82));
+}
+
+TEST_F(RosterTest, AnUnknownMachineWaitsForWhatTheFormerLeaderMayHaveAnswered) {
+  EXPECT_FALSE(Freed(39));
+  EXPECT_TRUE(Freed(42));
+}
+
+TEST_F(RosterTest, AConfirmedReturnFreesAtOnce) {
+  Checkin(1, 1, kToken, 1, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  roster_.OnReturned("vm-1");
+  EXPECT_TRUE(Freed(1));
+}
+
+TEST_F(RosterTest, AMachineThatIsBackAfterItsReturnIsReturnedAgain) {
+  roster_.OnReturned("vm-1");
+  Checkin(1, 1, kToken, 5);
+  EXPECT_TRUE(roster_.Find("vm-1")->returning);
+  EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 5));
+}
+
+TEST_F(RosterTest, AMachineGoneFromTheListIsGoneOnceTheListsHaveSettled) {
+  Checkin(1, 1, kToken, 1, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  wire::Listed l{"vm-1", "127.0.0.1:1", "c4", "a", false, wire::RentalState::kRunning, 5};
+  roster_.OnListed({l}, 2);
+  roster_.OnListed({}, 6);
+  EXPECT_FALSE(Freed(6)) << "a list may be older than the one before it";
+  roster_.OnListed({}, 13);
+  EXPECT_TRUE(Freed(13));
+}
+
+TEST_F(RosterTest, TasksThatNobodyRecordedAreStopped) {
+  auto orders = Checkin(1, 1, kToken, 1,
+                        {PieceOf("run-9", 3, 2, wire::PieceState::kRunning),
+                         PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, wire::Verb::kStop);
+  EXPECT_EQ(orders[0].task.job, "run-9");
+}
+
+TEST_F(RosterTest, CancelledTasksAreStoppedWithoutGrace) {
+  Cancel();
+  auto orders = Checkin(1, 1, kToken, 1, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, wire::Verb::kStop);
+  EXPECT_EQ(orders[0].grace_s, 0);
+}
+
+TEST_F(RosterTest, AJobThatFailsEverywhereCondemnsNoMachine) {
+  for (int i = 0; i < 5; ++i) {
+    wire::Report r = ReportOf("vm-" + std::to_string(i), 1, 1, kToken);
+    r.pieces = {PieceOf("run-2", 0, 1, wire::PieceState::kRunning)};
+    roster_.OnReport(r, 1, false);
+    r.tick = 2;
+    r.pieces = {PieceOf("run-2", 0, 1, wire::PieceState::kExited, wire::Cause::kError)};
+    roster_.OnReport(r, 2, false);
+  }
+  for (const auto& [name, m] : roster_.all()) EXPECT_FALSE(m.returning) << name;
+}
+
+TEST_F(RosterTest, AMachineOnWhichSeveralJobsFailIsReturned) {
+  uint64_t tick = 0;
+  for (const char* job : {"run-2", "run-3"}) {
+    Checkin(1, ++tick, kToken, 1, {PieceOf(job, 0, 1, wire::PieceState::kRunning)});
+    Checkin(1, ++tick, kToken, 2,
+            {PieceOf(job, 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
+  }
+  EXPECT_TRUE(roster_.Find("vm-1")->returning);
+}
+
+}  // namespace
+}  // namespace hallpier::fleet
