--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -1,7 +1,7 @@
 // What only the leader does: rounds, commits, orders to workers, renting.
 #pragma once
 
-#include <memory>
+#include <functional>
 #include <set>
 #include <string>
 
@@ -28,6 +28,7 @@
     jobs::Ledger* ledger;
     std::vector<wire::Flavor>* flavors;
     lead::Leadership* leadership;
+    std::function<double()> time_of_day;
   };
   explicit Duties(Deps deps);
 
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 
 namespace hallpier::fleet {
@@ -22,38 +23,51 @@
 std::vector<wire::Rental> Renter::Rentals(const std::vector<plan::Want>& wants,
                                           const std::vector<wire::Flavor>& flavors, uint64_t token,
                                           double now) {
-  std::map<std::tuple<std::string, std::string, bool>, double> sums;
-  for (const plan::Want& w : wants) sums[{w.flavor, w.zone, w.spot}] += w.machines;
+  struct Pool {
+    const plan::Want* want;
+    double tasks;
+  };
+  // Wants that could be served alike are one: like tasks are decided as a class.
+  std::map<std::tuple<std::string, std::string, bool>, Pool> pools;
+  for (const plan::Want& w : wants) {
+    std::string choices;
+    for (const auto& c : w.choices) choices += c.flavor + "*" + std::to_string(c.fit) + " ";
+    auto [it, fresh] = pools.try_emplace({choices, w.zone, w.spot}, Pool{&w, 0});
+    it->second.tasks += static_cast<double>(w.tasks) * (1 + operators_.headroom);
+  }
   std::vector<wire::Rental> out;
-  for (const auto& [want, machines] : sums) {
-    const auto& [name, zone, spot_ok] = want;
-    int left = static_cast<int>(std::ceil(machines * (1 + operators_.headroom)));
-    auto f = std::find_if(flavors.begin(), flavors.end(),
-                          [&, n = name](const wire::Flavor& o) { return o.name == n; });
-    if (f == flavors.end()) continue;
+  std::set<Offer> asked;
+  for (auto& [key, pool] : pools) {
     for (bool spot : {true, false}) {
-      if (spot && !spot_ok) continue;
-      std::vector<Offer> offers;
-      for (const auto& z : f->zones) {
-        if (!zone.empty() && z != zone) continue;
-        Offer o{name, z, spot};
-        auto wait = not_before_.find(o);
-        if (wait == not_before_.end() || wait->second <= now) offers.push_back(std::move(o));
-      }
-      // Spread over the zones, so that no single one takes everything with it.
-      for (size_t i = 0; i < offers.size() && left > 0; ++i) {
-        const auto rest = static_cast<int>(offers.size() - i);
-        const int count = std::min(kMostPerRequest, (left + rest - 1) / rest);
-        wire::Rental r;
-        r.request = "hallpier-" + std::to_string(token) + "-" + std::to_string(++number_);
-        r.flavor = offers[i].flavor;
-        r.zone = offers[i].zone;
-        r.spot = spot;
-        r.count = count;
-        left -= count;
-        out.push_back(std::move(r));
+      if (spot && !pool.want->spot) continue;
+      for (const auto& choice : pool.want->choices) {
+        auto f = std::find_if(flavors.begin(), flavors.end(),
+                              [&](const wire::Flavor& o) { return o.name == choice.flavor; });
+        if (f == flavors.end()) continue;
+        std::vector<Offer> offers;
+        for (const auto& z : f->zones) {
+          if (!pool.want->zone.empty() && z != pool.want->zone) continue;
+          Offer o{choice.flavor, z, spot};
+          auto wait = not_before_.find(o);
+          const bool dry = wait != not_before_.end() && wait->second > now;
+          if (!dry && !asked.contains(o)) offers.push_back(std::move(o));
+        }
+        // Spread over the zones, so that no single one takes everything with it.
+        for (size_t i = 0; i < offers.size() && pool.tasks > 0; ++i) {
+          const double fit = static_cast<double>(choice.fit);
+          const int left = static_cast<int>(std::ceil(pool.tasks / fit));
+          const int rest = static_cast<int>(offers.size() - i);
+          wire::Rental r;
+          r.request = "hallpier-" + std::to_string(token) + "-" + std::to_string(++number_);
+          r.flavor = offers[i].flavor;
+          r.zone = offers[i].zone;
+          r.spot = spot;
+          r.count = std::min(kMostPerRequest, (left + rest - 1) / rest);
+          pool.tasks -= r.count * fit;
+          asked.insert(offers[i]);
+          out.push_back(std::move(r));
+        }
       }
-      if (left <= 0) break;
     }
   }
   return out;
@@ -81,8 +95,11 @@
     const wire::Flavor* f = context.FindFlavor(m.flavor);
     if (f == nullptr) continue;
     if (!m.reported()) {
-      if (now - m.rented_at > kNeverUp * f->ready_s + settings_.list_lag_s) {
+      // Its age alone says nothing: a machine that reported to the leader before us is old, too.
+      if (m.booting && now - m.rented_at > kNeverUp * f->ready_s + settings_.list_lag_s) {
         roster.Return(m, "never came up");
+      } else if (!m.booting && roster.Silent(m, now)) {
+        roster.Return(m, "up, but never reported");
       }
       continue;
     }
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -125,7 +125,10 @@
       m.first_listed = now;
       m.rented_at = now - l.age_s;
     }
-    if (l.state != wire::RentalState::kBooting) m.booting = false;
+    if (m.booting && l.state != wire::RentalState::kBooting) {
+      m.booting = false;
+      m.up_seen = now;
+    }
     if (l.state == wire::RentalState::kFailed) Return(m, "failed by itself");
   }
   std::vector<std::string> vanished;
@@ -310,8 +313,10 @@
 }
 
 bool Roster::Silent(const Machine& m, double now) const {
-  if (!m.reported()) return false;
-  return now - std::max(m.last_report, term_start_) > options_.silent_ratio * options_.report_s;
+  // A machine that is up finds the leader within a few reports; before that nobody is silent.
+  if (m.booting) return false;
+  return now - std::max({m.last_report, term_start_, m.up_seen}) >
+         options_.silent_ratio * options_.report_s;
 }
 
 bool Roster::Usable(const Machine& m, double now) const {
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -59,6 +59,7 @@
   double first_listed = 0;
   double rented_at = 0;
   bool booting = true;
+  double up_seen = 0;  // when it was first listed as running
 
   bool returning = false;  // to be returned, or asked to be: never used again
   std::string why_returning;
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -45,8 +45,9 @@
 
 class Round {
  public:
-  Round(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster, double now)
-      : context_(context), ledger_(ledger), roster_(roster), now_(now) {}
+  Round(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster, double now,
+        double wall_now)
+      : context_(context), ledger_(ledger), roster_(roster), now_(now), wall_now_(wall_now) {}
 
   RoundResult Run() {
     SortJobs();
@@ -246,14 +247,14 @@
     for (size_t i = begin; i < end; ++i) classes.push_back(ClassOf(waiters_[i]));
     const Map map = Duplex(classes, slots_, limit);
     std::vector<size_t> started(classes.size(), 0), later(classes.size(), 0);
-    std::vector<double> first_start(classes.size(), std::numeric_limits<double>::infinity());
+    std::vector<std::vector<double>> starts(classes.size());
     std::vector<std::vector<uint32_t>> numbers(classes.size());
     for (const Assignment& a : map.assignments) {
       const Waiter& w = waiters_[begin + a.task_class];
       if (a.start > kNow) {
         const wire::Flavor* f = context_.FindFlavor(machines_[a.machine]->flavor);
         if (a.start < kWorthRenting * f->ready_s) ++later[a.task_class];
-        first_start[a.task_class] = std::min(first_start[a.task_class], a.start);
+        starts[a.task_class].push_back(a.start);
         continue;
       }
       auto& list = numbers[a.task_class];
@@ -269,7 +270,8 @@
       const Waiter& w = waiters_[begin + c];
       const size_t unmet = w.count - started[c] - later[c];
       if (unmet > 0) AddWant(w, unmet);
-      if (w.count > started[c]) Preempt(w, classes[c], w.count - started[c], first_start[c]);
+      starts[c].resize(w.count - started[c], std::numeric_limits<double>::infinity());
+      Preempt(w, classes[c], starts[c]);
     }
     return map.assignments.size();
   }
@@ -277,8 +279,7 @@
   void AddWant(const Waiter& w, size_t tasks) {
     const wire::JobSpec& spec = w.job->spec;
     const Room need = NeedOf(spec);
-    const wire::Flavor* best = nullptr;
-    double best_price = 0, best_fit = 0;
+    std::vector<std::pair<double, Want::Choice>> choices;
     for (const wire::Flavor& f : context_.flavors) {
       const bool listed =
           spec.flavors.empty() ||
@@ -289,15 +290,17 @@
       if (need.gpus > 0) fit = std::min(fit, std::floor(f.gpus / need.gpus + 1e-9));
       if (need.memory_gb > 0) fit = std::min(fit, std::floor(f.memory_gb / need.memory_gb + 1e-9));
       const double price = (spec.spot ? f.spot_price : f.price) / fit;
-      if (best == nullptr || price < best_price) {
-        best = &f;
-        best_price = price;
-        best_fit = fit;
-      }
+      choices.push_back({price, {f.name, static_cast<size_t>(fit)}});
     }
-    if (best == nullptr) return;
-    result_.wants.push_back(
-        {best->name, spec.zone, spec.spot, static_cast<double>(tasks) / best_fit});
+    if (choices.empty()) return;
+    std::sort(choices.begin(), choices.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    Want want;
+    for (auto& [price, choice] : choices) want.choices.push_back(std::move(choice));
+    want.zone = spec.zone;
+    want.spot = spec.spot;
+    want.tasks = tasks;
+    result_.wants.push_back(std::move(want));
   }
 
   bool MayStop(const Waiter& w, const jobs::Job& victim) const {
@@ -312,12 +315,30 @@
     return grace > 0 ? job.spec.snapshot_s : std::fmod(ran, job.spec.snapshot_every_s);
   }
 
+  // How long a task may still wait before others are stopped for it.
+  double Patience(const Waiter& w) const {
+    const wire::JobSpec& spec = w.job->spec;
+    const double report = context_.settings->report_s;
+    if (spec.urgency > wire::Urgency::kUrgent) {
+      double boot = 0;
+      for (const wire::Flavor& f : context_.flavors) boot = std::max(boot, f.ready_s);
+      return std::max(boot, report);
+    }
+    for (const config::Objective& o : context_.settings->objectives) {
+      if (o.kind != "wait" || o.lane != spec.lane) continue;
+      return std::max(report, o.within_s - std::max(0.0, wall_now_ - w.job->submitted) - report);
+    }
+    return 2 * report;
+  }
+
   // Stops work of lower rank where that lets tasks start clearly sooner than waiting would.
-  void Preempt(const Waiter& w, const TaskClass& tc, size_t tasks, double first_start) {
-    const bool urgent = w.job->spec.urgency <= wire::Urgency::kUrgent;
-    if (!urgent && !w.guaranteed) return;
+  // `starts`: when the waiting tasks would start otherwise.
+  void Preempt(const Waiter& w, const TaskClass& tc, const std::vector<double>& starts) {
+    if (w.job->spec.urgency > wire::Urgency::kUrgent && !w.guaranteed) return;
     const double report = context_.settings->report_s;
-    for (size_t n = 0; n < tasks; ++n) {
+    const double patience = Patience(w);
+    for (const double start : starts) {
+      if (start <= patience) continue;
       double best_cost = std::numeric_limits<double>::infinity();
       std::vector<Preemption> best;
       for (size_t i = 0; i < machines_.size(); ++i) {
@@ -335,7 +356,7 @@
           const bool prompt = context_.prompt_lanes.contains(w.job->spec.lane);
           const bool saves = job->spec.snapshot_every_s > 0 && !prompt;
           const double grace = saves ? job->spec.snapshot_s : 0;
-          if (grace + kStopReports * report + report > first_start) continue;
+          if (grace + kStopReports * report + report > start) continue;
           victims.emplace_back(Loss(*job, held->second, grace), task, attempt, grace,
                                NeedOf(job->spec));
         }
@@ -366,6 +387,7 @@
   const jobs::Ledger& ledger_;
   const fleet::Roster& roster_;
   const double now_;
+  const double wall_now_;
   std::vector<const jobs::Job*> jobs_;
   std::set<const jobs::Job*> guaranteed_;
   std::vector<Waiter> waiters_;
@@ -395,8 +417,8 @@
 }
 
 RoundResult PlanRound(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster,
-                      double now) {
-  return Round(context, ledger, roster, now).Run();
+                      double now, double wall_now) {
+  return Round(context, ledger, roster, now, wall_now).Run();
 }
 
 }  // namespace hallpier::plan
--- a/src/plan/round.h
+++ b/src/plan/round.h
@@ -12,12 +12,16 @@
 
 namespace hallpier::plan {
 
-// Machines that the waiting tasks would need beyond what is there or about to be.
+// Tasks that new machines would serve sooner than those that are there or about to be.
 struct Want {
-  std::string flavor;   // the preferred type
-  std::string zone;     // empty: any
-  bool spot = true;     // may be a spot machine
-  double machines = 0;  // may be a fraction
+  struct Choice {
+    std::string flavor;
+    size_t fit = 1;  // tasks that a machine of the type holds
+  };
+  std::vector<Choice> choices;  // cheapest per task first
+  std::string zone;             // empty: any
+  bool spot = true;             // may be a spot machine
+  size_t tasks = 0;
 };
 
 struct Preemption {
@@ -46,8 +50,9 @@
 
 inline constexpr size_t kOldest = 500;  // waiting tasks that a round looks at
 
+// `now` is steady, `wall_now` the time of day that submissions are stamped with.
 RoundResult PlanRound(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster,
-                      double now);
+                      double now, double wall_now);
 
 // Expected run time of a job's task on a machine type: the learned mean there, else over all types,
 // else the owner's estimate.
