--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -155,8 +155,7 @@
       if (within) guaranteed_.insert(job);
       NotePrompt(*job);
       if (job->waiting() == 0) continue;
-      const int urgency = static_cast<int>(job->spec.urgency);
-      waiters_.push_back({job, within, (within ? 0 : 4) + urgency, job->waiting()});
+      waiters_.push_back({job, within, TierOf(*job, within), job->waiting()});
     }
     std::stable_sort(waiters_.begin(), waiters_.end(),
                      [](const Waiter& a, const Waiter& b) { return a.tier < b.tier; });
@@ -177,6 +176,23 @@
     std::erase_if(waiters_, [](const Waiter& w) { return w.count == 0; });
   }
 
+  // Urgency first. Within a team's guarantee comes before beyond it, and work within it that has
+  // waited for as long as a machine takes to boot goes before all that is beyond a guarantee: else a
+  // swarm of another team's urgent work could keep a team from what it is owed.
+  int TierOf(const jobs::Job& job, bool within) const {
+    const int urgency = static_cast<int>(job.spec.urgency);
+    const bool urgent = job.spec.urgency <= wire::Urgency::kUrgent;
+    if (within && urgent) return urgency;
+    if (within && wall_now_ - job.submitted > BootTime()) return 2;
+    return 3 + 2 * urgency + (within ? 0 : 1);
+  }
+
+  double BootTime() const {
+    double boot = context_.settings->report_s;
+    for (const wire::Flavor& f : context_.flavors) boot = std::max(boot, f.ready_s);
+    return boot;
+  }
+
   void NotePrompt(const jobs::Job& job) {
     if (job.spec.urgency > wire::Urgency::kUrgent) return;
     for (const config::Objective& o : context_.settings->objectives) {
@@ -319,11 +335,7 @@
   double Patience(const Waiter& w) const {
     const wire::JobSpec& spec = w.job->spec;
     const double report = context_.settings->report_s;
-    if (spec.urgency > wire::Urgency::kUrgent) {
-      double boot = 0;
-      for (const wire::Flavor& f : context_.flavors) boot = std::max(boot, f.ready_s);
-      return std::max(boot, report);
-    }
+    if (spec.urgency > wire::Urgency::kUrgent) return BootTime();
     for (const config::Objective& o : context_.settings->objectives) {
       if (o.kind != "wait" || o.lane != spec.lane) continue;
       return std::max(report, o.within_s - std::max(0.0, wall_now_ - w.job->submitted) - report);
