--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -101,6 +101,15 @@
   return changed;
 }
 
+void Roster::LearnImages(const jobs::Ledger& ledger) {
+  for (auto& [name, m] : machines_) {
+    for (const auto& [task, h] : m.held) {
+      const jobs::Job* job = ledger.Find(task.job);
+      if (job != nullptr && h.state == wire::PieceState::kRunning) m.images.insert(job->spec.image);
+    }
+  }
+}
+
 void Roster::OnAnswered(const std::string& machine, double now) {
   if (Machine* m = Find(machine)) m->last_answer = now;
 }
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -61,6 +61,8 @@
   bool booting = true;
   double up_seen = 0;  // when it was first listed as running
 
+  std::set<std::string> images;  // jobs' images that were seen to be there, as far as we know
+
   bool returning = false;  // to be returned, or asked to be: never used again
   std::string why_returning;
   std::map<std::string, int> errors;  // by job, since the last success here
@@ -90,6 +92,8 @@
   // Takes in a report. `direct`: the answer to /commands, which renews nothing and does not follow
   // an answer of ours. True if something changed that a round should look at.
   bool OnReport(const wire::Report& r, double now, bool direct);
+  // Notes the images that running tasks prove to be on their machine.
+  void LearnImages(const jobs::Ledger& ledger);
   void OnAnswered(const std::string& machine, double now);
   void OnListed(const std::vector<wire::Listed>& machines, double now);
   void OnRented(const std::vector<std::string>& names, const wire::Rental& rental, double now);
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -218,6 +218,13 @@
     }
   }
 
+  // Seconds until a machine that lacks the image has it.
+  double Fetch(const wire::JobSpec& spec, const fleet::Machine& m) const {
+    const wire::Flavor* f = context_.FindFlavor(m.flavor);
+    if (m.images.contains(spec.image) || f->fetch_gb_per_s <= 0) return 0;
+    return spec.image_gb / f->fetch_gb_per_s;
+  }
+
   TaskClass ClassOf(const Waiter& w) {
     const wire::JobSpec& spec = w.job->spec;
     TaskClass tc;
@@ -226,7 +233,7 @@
     tc.one_zone = spec.one_zone;
     for (const fleet::Machine* m : machines_) {
       const bool ok = Allowed(spec, *m) && !roster_.Failed(*m, spec.id);
-      tc.run_s.push_back(ok ? PredictRun(*w.job, m->flavor) * m->slowness : -1);
+      tc.run_s.push_back(ok ? PredictRun(*w.job, m->flavor) * m->slowness + Fetch(spec, *m) : -1);
     }
     if (!spec.one_zone && !spec.spread) return tc;
     std::map<std::string, size_t> by_zone;
