Peer links: a dead leader's lease is ended for it; refused nodes are relayed

Cause: after a crash nobody placed anything until the leader's lease had run out (2 to 3 s), and a node refused by the state service alone turned users away.

A wrong suspicion is safe: the suspected node's token loses, and the successor waits for all that it may still answer (others_until no longer counts on the lease's length).

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -50,10 +50,36 @@
       server_(root_,
               {static_cast<size_t>(settings_.max_sockets * kServerSockets), kMaxRequestBody,
                settings_.lease_s * 4, settings_.report_s * 3},
-              [this](wire::HttpRequest r) { return Handle(std::move(r)); }) {}
+              [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
+      peers_(root_, settings_,
+             {[this] { return Status(); },
+              [this](wire::HttpRequest r) { return client_.Direct(std::move(r)); },
+              [this](const wire::PeerStatus& s) { leadership_.Superseded(s.token); },
+              [this](const std::string& node) { leadership_.Suspect(node); }}) {
+  client_.SetRelay([this](wire::HttpRequest r) { return peers_.Relay(std::move(r)); });
+  leadership_.SetOutageConfirmed([this] { return peers_.AllConfirmOutage(); });
+}
+
+wire::PeerStatus Controller::Status() const {
+  wire::PeerStatus s;
+  s.node = settings_.node;
+  s.token = leadership_.highest();
+  s.leading = leadership_.leading();
+  s.state_good = replica_.loaded() && !client_.down();
+  return s;
+}
+
+bool Controller::Ready() const {
+  if (!replica_.loaded()) return false;
+  // Refused alone, with nobody to relay for us: users are better off elsewhere. While the service
+  // is out for all, leaving the balancer would only make the return slower.
+  return !client_.down() || peers_.AnyReachesState() || peers_.AllConfirmOutage() ||
+         settings_.seeds.empty();
+}
 
 bool Controller::Start(std::string* error) {
   if (!server_.Listen(settings_.listen, error)) return false;
+  if (!peers_.Start(error)) return false;
   root_.Spawn(replica_.Run());
   root_.Spawn(leadership_.Run());
   spdlog::info("{} listens on {}", settings_.node, settings_.listen);
@@ -126,7 +152,7 @@
     known = true;
   } else if (path == "/ready") {
     if (get) {
-      const bool ready = replica_.loaded();
+      const bool ready = Ready();
       co_return wire::HttpResponse{.status = ready ? 200 : 503, .body = "{}"};
     }
     known = true;
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -8,6 +8,7 @@
 #include "config/settings.h"
 #include "lead/leadership.h"
 #include "net/http_server.h"
+#include "net/peer_mesh.h"
 #include "rt/loop.h"
 #include "store/client.h"
 #include "store/replica.h"
@@ -26,6 +27,8 @@
  private:
   rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
   wire::HttpResponse Checkin(const std::string& body);
+  wire::PeerStatus Status() const;
+  bool Ready() const;
   void OnState(const std::string& key, const std::string& value);
   rt::Task<> Drain();
 
@@ -42,6 +45,7 @@
   Duties duties_;
   api::UserApi users_;
   net::HttpServer server_;
+  net::PeerMesh peers_;
 };
 
 }  // namespace hallpier::app
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace hallpier::lead {
 namespace {
 // The lease is renewed this often within its length.
@@ -25,7 +27,23 @@
   // part of the workers' lease, which a successor waits for (others_until) before it trusts a
   // lease's end; that carries running tasks through an outage.
   const double blind = operators_.blind_ratio * settings_.lease_s;
-  return leading() && !lost_ && scope_.loop().Now() < last_renewed_ + blind;
+  if (!leading() || lost_) return false;
+  if (scope_.loop().Now() < last_renewed_ + blind) return true;
+  // Beyond that only while every other node says at this moment that nobody can have followed us. A
+  // majority would not do: the node that is missing may be the one that leads.
+  return outage_confirmed_ && outage_confirmed_();
+}
+
+uint64_t Leadership::highest() const {
+  return std::max(token_, replica_.Stamp(store::BlockKey(0)));
+}
+
+void Leadership::Suspect(const std::string& node) {
+  if (leading() || !record_ || record_->node != node) return;
+  if (suspected_permit_ == record_->permit) return;
+  spdlog::warn("leadership: {} seems to have ended; its lease is ended for it", node);
+  suspected_permit_ = record_->permit;
+  wake_.Notify();
 }
 
 void Leadership::OnRecord(const std::string& value) {
@@ -39,7 +57,8 @@
 }
 
 void Leadership::Superseded(uint64_t token) {
-  if (!leading() || lost_ || token <= token_) return;
+  // While we raise our own token, others may hear of it before we do.
+  if (!leading() || lost_ || fencing_ || token <= token_) return;
   spdlog::warn("leadership: token {} is higher than ours, {}", token, token_);
   lost_ = true;
   wake_.Notify();
@@ -56,7 +75,9 @@
 rt::Task<bool> Leadership::Fence() {
   std::vector<wire::Guard> guards = {{store::BlockKey(0), token_}};
   std::vector<wire::Write> writes = {{store::BlockKey(0), store::WriteBlock(settings_.node), 0}};
+  fencing_ = true;
   auto r = co_await client_.Txn(std::move(guards), writes, store::Urgent::kYes);
+  fencing_ = false;
   if (!r.ok()) co_return false;
   token_ = r.value.revision;
   replica_.Apply(store::BlockKey(0), writes[0].value, token_);
@@ -83,7 +104,9 @@
   }
   const double now = scope_.loop().Now();
   const double blind = operators_.blind_ratio * settings_.lease_s;
-  others_until_ = followed_self_ ? now : now + std::max(0.0, blind - ttl());
+  // The former leader's lease may have been ended for it a moment ago (Suspect), so that its length
+  // can't be counted on.
+  others_until_ = followed_self_ ? now : now + blind;
   permit_ = permit.value;
   token_ = r.value.revision;
   lost_ = false;
@@ -123,6 +146,13 @@
   (void)ended;
 }
 
+rt::Task<> Leadership::AwaitRecordGone(uint64_t permit, bool ended) {
+  // The watch may have told it already, while the answer was under way.
+  if (ended && (!record_ || record_->permit != permit)) co_return;
+  auto pause = wake_.Await(scope_, ttl() / kRenewals);
+  co_await pause;
+}
+
 rt::Task<> Leadership::Run() {
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
   while (!scope_.cancelled()) {
@@ -138,8 +168,13 @@
       const uint64_t permit = record_->permit;
       auto ended = co_await client_.End(permit);
       followed_self_ = ended.ok();
-      auto pause = wake_.Await(scope_, ttl() / kRenewals);
-      co_await pause;
+      co_await AwaitRecordGone(permit, ended.ok());
+      continue;
+    }
+    if (record_ && record_->permit == suspected_permit_) {
+      const uint64_t permit = suspected_permit_;
+      auto ended = co_await client_.End(permit);
+      co_await AwaitRecordGone(permit, ended.ok());
       continue;
     }
     if (record_ || now < not_before_) {
--- a/src/lead/leadership.h
+++ b/src/lead/leadership.h
@@ -36,6 +36,13 @@
   std::string leader() const { return record_ ? record_->node : std::string(); }
   // Somebody knows a higher token: ours is over.
   void Superseded(uint64_t token);
+  // A node's process has most likely ended. Its lease is ended for it, which is safe even if that
+  // is wrong: its token loses, and the successor waits for all that it may still have answered.
+  void Suspect(const std::string& node);
+  // Says whether all others confirm that the state service is out for everybody.
+  void SetOutageConfirmed(std::function<bool()> f) { outage_confirmed_ = std::move(f); }
+  // The highest token known here.
+  uint64_t highest() const;
   // Gives the lead to somebody else, and does not take it again for a while.
   void Resign(double pause_s, const std::string& why);
   // Replaces our token by a higher one, which makes every order that is still under way void.
@@ -44,6 +51,7 @@
  private:
   rt::Task<bool> Acquire();
   rt::Task<> Hold();
+  rt::Task<> AwaitRecordGone(uint64_t permit, bool ended);
   double ttl() const;
 
   rt::Scope& scope_;
@@ -60,7 +68,10 @@
   double others_until_ = 0;
   double not_before_ = 0;
   bool followed_self_ = false;
+  uint64_t suspected_permit_ = 0;
+  std::function<bool()> outage_confirmed_;
   bool lost_ = false;
+  bool fencing_ = false;
   rt::Event wake_;
 };
 
--- /dev/null
+++ b/src/net/peer_mesh.cc
@@ -0,0 +1,208 @@
+#include "net/peer_mesh.h"
+
+#include <errno.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "wire/varint.h"
+
+namespace hallpier::net {
+namespace {
+
+// Pings per report period.
+constexpr double kBeats = 8;
+// A status is believed for this many beats.
+constexpr double kFreshBeats = 3;
+// A link that brought nothing for this many beats is broken.
+constexpr double kDeadBeats = 6;
+constexpr double kRelayTimeoutS = 0.8;
+// Requests that wait for one peer at a time; more are refused at once.
+constexpr size_t kMaxPending = 64;
+
+}  // namespace
+
+PeerMesh::PeerMesh(rt::Scope& scope, const config::Settings& settings, Hooks hooks)
+    : scope_(scope), settings_(settings), hooks_(std::move(hooks)) {
+  for (const config::Seed& s : settings_.seeds) {
+    if (s.node == settings_.node) continue;
+    peers_.push_back(std::make_unique<Peer>());
+    peers_.back()->seed = s;
+  }
+}
+
+double PeerMesh::beat() const { return settings_.report_s / kBeats; }
+
+bool PeerMesh::Start(std::string* error) {
+  auto at = ParseAddress(settings_.peer_bind);
+  auto listener = Listener::Open(*at, error);
+  if (!listener) return false;
+  scope_.Spawn(AcceptLoop(std::move(*listener)));
+  for (auto& p : peers_) scope_.Spawn(DialLoop(p.get()));
+  return true;
+}
+
+bool PeerMesh::Fresh(const Peer& p) const {
+  return p.connected && scope_.loop().Now() - p.heard < kFreshBeats * beat();
+}
+
+bool PeerMesh::AllConfirmOutage() const {
+  return !peers_.empty() && std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return Fresh(*p) && !p->status.state_good;
+  });
+}
+
+bool PeerMesh::AnyReachesState() const {
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& p) { return Fresh(*p) && p->status.state_good; });
+}
+
+bool PeerMesh::AnyConnected() const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) { return Fresh(*p); });
+}
+
+rt::Task<std::optional<wire::HttpResponse>> PeerMesh::Relay(wire::HttpRequest request) {
+  Peer* best = nullptr;
+  for (auto& p : peers_) {
+    if (!Fresh(*p) || !p->status.state_good || p->pending.size() >= kMaxPending) continue;
+    if (best == nullptr || p->pending.size() < best->pending.size()) best = p.get();
+  }
+  if (best == nullptr) co_return std::nullopt;
+  const uint64_t id = ++next_id_;
+  auto pending = std::make_shared<Pending>();
+  best->pending[id] = pending;
+  wire::RelayRequest relay{id, std::move(request)};
+  best->outbox += wire::Frame(wire::WritePeerMessage(std::move(relay)));
+  best->wake.Notify();
+  if (!pending->done) {
+    auto wait = pending->event.Await(scope_, kRelayTimeoutS);
+    co_await wait;
+  }
+  best->pending.erase(id);
+  co_return pending->answer;
+}
+
+rt::Task<> PeerMesh::DialLoop(Peer* peer) {
+  auto to = ParseAddress(peer->seed.endpoint);
+  while (!scope_.cancelled()) {
+    int error = 0;
+    std::optional<Stream> stream =
+        co_await Stream::Connect(scope_, *to, scope_.loop().Now() + 4 * beat(), &error);
+    if (stream) {
+      spdlog::debug("peer {}: link up", peer->seed.node);
+      auto shared = std::make_shared<Stream>(std::move(*stream));
+      auto open = std::make_shared<bool>(true);
+      peer->connected = true;
+      peer->outbox.clear();
+      scope_.Spawn(WriteLoop(peer, shared, open));
+      co_await ReadLoop(peer, shared, open);
+      peer->connected = false;
+      peer->wake.Notify();
+      spdlog::info("peer {}: link down", peer->seed.node);
+      for (auto& [id, pending] : peer->pending) {
+        pending->done = true;
+        pending->event.Notify();
+      }
+      continue;
+    }
+    if (error == ECONNREFUSED) hooks_.on_refused(peer->seed.node);
+    rt::Sleep pause(scope_, beat());
+    co_await pause;
+  }
+}
+
+rt::Task<> PeerMesh::WriteLoop(Peer* peer, std::shared_ptr<Stream> stream,
+                               std::shared_ptr<bool> open) {
+  double next_ping = 0;
+  while (*open && !scope_.cancelled()) {
+    const double now = scope_.loop().Now();
+    if (now >= next_ping) {
+      peer->outbox += wire::Frame(wire::WritePeerMessage(hooks_.status()));
+      next_ping = now + beat();
+    }
+    const std::string out = std::exchange(peer->outbox, {});
+    if (!out.empty()) {
+      bool written = co_await stream->Write(scope_, out, now + kDeadBeats * beat());
+      if (!written) break;
+      continue;
+    }
+    auto wait = peer->wake.Await(scope_, next_ping - now);
+    co_await wait;
+  }
+}
+
+rt::Task<> PeerMesh::ReadLoop(Peer* peer, std::shared_ptr<Stream> stream,
+                              std::shared_ptr<bool> open) {
+  wire::FrameBuffer frames(wire::kMaxPeerFrame);
+  while (!scope_.cancelled() && !frames.corrupt()) {
+    while (auto payload = frames.Next()) {
+      auto m = wire::ReadPeerMessage(*payload);
+      if (!m) {
+        spdlog::warn("peer {}: a message can't be read", peer->seed.node);
+        *open = false;
+        co_return;
+      }
+      if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
+        peer->heard = scope_.loop().Now();
+        peer->status = *s;
+        hooks_.on_status(*s);
+      } else if (auto* a = std::get_if<wire::RelayAnswer>(&*m)) {
+        auto it = peer->pending.find(a->id);
+        if (it == peer->pending.end()) continue;
+        if (a->answered) it->second->answer = std::move(a->response);
+        it->second->done = true;
+        it->second->event.Notify();
+      }
+    }
+    std::string data;
+    bool read = co_await stream->Read(scope_, data, scope_.loop().Now() + kDeadBeats * beat());
+    if (!read) break;
+    frames.Feed(data);
+  }
+  *open = false;
+}
+
+rt::Task<> PeerMesh::AcceptLoop(Listener listener) {
+  while (!scope_.cancelled()) {
+    std::optional<Stream> stream = co_await listener.Accept(scope_);
+    if (stream) {
+      scope_.Spawn(Serve(std::move(*stream)));
+      continue;
+    }
+    rt::Sleep pause(scope_, beat());
+    co_await pause;
+  }
+}
+
+rt::Task<> PeerMesh::Serve(Stream stream) {
+  wire::FrameBuffer frames(wire::kMaxPeerFrame);
+  while (!scope_.cancelled() && !frames.corrupt()) {
+    std::string out;
+    while (auto payload = frames.Next()) {
+      auto m = wire::ReadPeerMessage(*payload);
+      if (!m) co_return;
+      if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
+        hooks_.on_status(*s);
+        out += wire::Frame(wire::WritePeerMessage(hooks_.status()));
+      } else if (auto* q = std::get_if<wire::RelayRequest>(&*m)) {
+        wire::RelayAnswer answer;
+        answer.id = q->id;
+        auto r = co_await hooks_.execute(std::move(q->request));
+        answer.answered = r.has_value();
+        if (r) answer.response = std::move(*r);
+        out += wire::Frame(wire::WritePeerMessage(std::move(answer)));
+      }
+    }
+    const double deadline = scope_.loop().Now() + kDeadBeats * beat();
+    if (!out.empty()) {
+      bool written = co_await stream.Write(scope_, out, deadline);
+      if (!written) break;
+    }
+    std::string data;
+    bool read = co_await stream.Read(scope_, data, deadline);
+    if (!read) break;
+    frames.Feed(data);
+  }
+}
+
+}  // namespace hallpier::net
--- /dev/null
+++ b/src/net/peer_mesh.h
@@ -0,0 +1,74 @@
+// Links to the other controllers: who is there, how they see the state service, and relaying.
+//
+// Every node dials every other one. The dialler pings with its own status and is answered with the
+// other's; relayed requests go the same way.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "net/stream.h"
+#include "wire/peer.h"
+
+namespace hallpier::net {
+
+class PeerMesh {
+ public:
+  struct Hooks {
+    std::function<wire::PeerStatus()> status;
+    // Executes a peer's request to the state service.
+    std::function<rt::Task<std::optional<wire::HttpResponse>>(wire::HttpRequest)> execute;
+    std::function<void(const wire::PeerStatus&)> on_status;
+    // A link broke and the peer's machine refuses another: its process has most likely ended.
+    std::function<void(const std::string& node)> on_refused;
+  };
+
+  PeerMesh(rt::Scope& scope, const config::Settings& settings, Hooks hooks);
+
+  bool Start(std::string* error);
+
+  // By way of a peer that the state service answers; nothing if there is none, or no answer.
+  rt::Task<std::optional<wire::HttpResponse>> Relay(wire::HttpRequest request);
+  // True if every other node says, just now, that it can't reach the state service either.
+  bool AllConfirmOutage() const;
+  // True if some other node says, just now, that the state service answers it.
+  bool AnyReachesState() const;
+  bool AnyConnected() const;
+
+ private:
+  struct Pending {
+    bool done = false;
+    std::optional<wire::HttpResponse> answer;
+    rt::Event event;
+  };
+  struct Peer {
+    config::Seed seed;
+    bool connected = false;
+    double heard = -1;  // steady time of the last status
+    wire::PeerStatus status;
+    std::string outbox;  // frames to be written
+    rt::Event wake;
+    std::map<uint64_t, std::shared_ptr<Pending>> pending;
+  };
+
+  rt::Task<> DialLoop(Peer* peer);
+  rt::Task<> ReadLoop(Peer* peer, std::shared_ptr<Stream> stream, std::shared_ptr<bool> open);
+  rt::Task<> WriteLoop(Peer* peer, std::shared_ptr<Stream> stream, std::shared_ptr<bool> open);
+  rt::Task<> AcceptLoop(Listener listener);
+  rt::Task<> Serve(Stream stream);
+  bool Fresh(const Peer& peer) const;
+  double beat() const;
+
+  rt::Scope& scope_;
+  const config::Settings& settings_;
+  const Hooks hooks_;
+  std::vector<std::unique_ptr<Peer>> peers_;
+  uint64_t next_id_ = 0;
+};
+
+}  // namespace hallpier::net
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -89,21 +89,24 @@
 }
 
 rt::Task<std::optional<Stream>> Stream::Connect(rt::Scope& scope, const sockaddr_in& to,
-                                                double deadline) {
+                                                double deadline, int* error) {
+  int ignored = 0;
+  int& reason = error == nullptr ? ignored : *error;
   Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!fd) co_return std::nullopt;
+  if (!fd) {
+    reason = errno;
+    co_return std::nullopt;
+  }
   SetNoDelay(fd.get());
-  int r = connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to));
-  if (r != 0) {
-    if (errno != EINPROGRESS) co_return std::nullopt;
-    double left = deadline - scope.loop().Now();
-    if (left <= 0) co_return std::nullopt;
+  if (connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0) {
+    reason = errno;
+    const double left = deadline - scope.loop().Now();
+    if (reason != EINPROGRESS || left <= 0) co_return std::nullopt;
     rt::FdWait wait(scope, fd.get(), EV_WRITE, left);
     rt::Wake wake = co_await wait;
     if (wake != rt::Wake::kReady) co_return std::nullopt;
-    int error = 0;
-    socklen_t size = sizeof(error);
-    if (getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    socklen_t size = sizeof(reason);
+    if (getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &reason, &size) != 0 || reason != 0) {
       co_return std::nullopt;
     }
   }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -41,8 +41,9 @@
   // True if the peer closed an idle stream, or sent what nobody asked for.
   bool Stale() const;
 
+  // `error`, if given, gets the reason where the other side or the system names one.
   static rt::Task<std::optional<Stream>> Connect(rt::Scope& scope, const sockaddr_in& to,
-                                                 double deadline);
+                                                 double deadline, int* error = nullptr);
 
  private:
   Fd fd_;
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -177,8 +177,8 @@
   }
 
   // Urgency first. Within a team's guarantee comes before beyond it, and work within it that has
-  // waited for as long as a machine takes to boot goes before all that is beyond a guarantee: else a
-  // swarm of another team's urgent work could keep a team from what it is owed.
+  // waited for as long as a machine takes to boot goes before all that is beyond a guarantee: else
+  // a swarm of another team's urgent work could keep a team from what it is owed.
   int TierOf(const jobs::Job& job, bool within) const {
     const int urgency = static_cast<int>(job.spec.urgency);
     const bool urgent = job.spec.urgency <= wire::Urgency::kUrgent;
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -13,6 +13,8 @@
 // Requests wait for their budget no longer than this part of a call's time limit.
 constexpr double kQueueRatio = 0.8;
 
+constexpr std::string_view kGet = "/store/";
+
 template <class T>
 Result<T> Failed(const std::optional<wire::HttpResponse>& r) {
   if (!r) return {Status::kUnknown};
@@ -70,9 +72,14 @@
 }
 
 rt::Task<std::optional<wire::HttpResponse>> Client::Direct(wire::HttpRequest request) {
+  const double writes = request.target == "/txn" ? 1 : 0;
+  const double wait = requests_.Take(scope_.loop().Now(), 1, Urgent::kNo, 0);
+  const double w = writes_.Take(scope_.loop().Now(), writes, Urgent::kNo, 0);
+  if (wait < 0 || w < 0) co_return std::nullopt;
   const bool repeatable = request.method == "GET";
   auto r = co_await http_.Call(scope_, options_.endpoint, std::move(request), options_.timeout_s,
                                repeatable);
+  Note(r && r->status != 503 && r->status != 429);
   co_return r;
 }
 
@@ -93,12 +100,18 @@
     co_await pause;
   }
   const bool repeatable = request.method == "GET";
-  const bool by_peer = relay_ && down();
+  // While this node alone is refused, single values and transactions go by way of a peer. That is
+  // safe even for a transaction that got no answer here: its guards name the keys that it writes,
+  // so that only one copy can ever be applied.
+  const bool relayable = relay_ && (request.target == "/txn" || request.target.starts_with(kGet));
+  if (relayable && down()) {
+    std::optional<wire::HttpResponse> other = co_await relay_(request);
+    if (other) co_return other;
+  }
   std::optional<wire::HttpResponse> r =
       co_await http_.Call(scope_, options_.endpoint, request, timeout_s, repeatable);
   Note(r && r->status != 503 && r->status != 429);
-  // Only what was surely not executed may go another way.
-  if (by_peer && r && r->status == 503) {
+  if (relayable && down()) {
     std::optional<wire::HttpResponse> other = co_await relay_(std::move(request));
     if (other) co_return other;
   }
--- /dev/null
+++ b/src/wire/peer.cc
@@ -0,0 +1,84 @@
+#include "wire/peer.h"
+
+#include "wire/varint.h"
+
+namespace hallpier::wire {
+namespace {
+
+enum Type : uint64_t { kStatus = 1, kRelayRequest = 2, kRelayAnswer = 3 };
+
+struct Writer {
+  std::string out;
+
+  void operator()(const PeerStatus& s) {
+    PutVarint(out, kStatus);
+    PutBytes(out, s.node);
+    PutVarint(out, s.token);
+    PutVarint(out, s.leading);
+    PutVarint(out, s.state_good);
+  }
+  void operator()(const RelayRequest& r) {
+    PutVarint(out, kRelayRequest);
+    PutVarint(out, r.id);
+    PutBytes(out, r.request.method);
+    PutBytes(out, r.request.target);
+    PutBytes(out, r.request.body);
+  }
+  void operator()(const RelayAnswer& a) {
+    PutVarint(out, kRelayAnswer);
+    PutVarint(out, a.id);
+    PutVarint(out, a.answered);
+    PutVarint(out, static_cast<uint64_t>(a.response.status));
+    PutBytes(out, a.response.body);
+  }
+};
+
+}  // namespace
+
+std::string WritePeerMessage(const PeerMessage& m) {
+  Writer w;
+  std::visit(w, m);
+  return std::move(w.out);
+}
+
+std::optional<PeerMessage> ReadPeerMessage(std::string_view payload) {
+  VarintReader r(payload);
+  PeerMessage out;
+  switch (r.Varint()) {
+    case kStatus: {
+      PeerStatus s;
+      s.node = r.Bytes();
+      s.token = r.Varint();
+      s.leading = r.Varint() != 0;
+      s.state_good = r.Varint() != 0;
+      out = std::move(s);
+      break;
+    }
+    case kRelayRequest: {
+      RelayRequest q;
+      q.id = r.Varint();
+      q.request.method = r.Bytes();
+      q.request.target = r.Bytes();
+      q.request.body = r.Bytes();
+      out = std::move(q);
+      break;
+    }
+    case kRelayAnswer: {
+      RelayAnswer a;
+      a.id = r.Varint();
+      a.answered = r.Varint() != 0;
+      const uint64_t status = r.Varint();
+      if (status > 999) return std::nullopt;
+      a.response.status = static_cast<int>(status);
+      a.response.body = r.Bytes();
+      out = std::move(a);
+      break;
+    }
+    default:
+      return std::nullopt;
+  }
+  if (!r.Finished()) return std::nullopt;
+  return out;
+}
+
+}  // namespace hallpier::wire
