--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -147,13 +147,27 @@
       spdlog::info("commit of {} writes failed ({})", writes.size(), static_cast<int>(r.status));
       co_return false;
     }
-    for (const wire::Write& w : writes) d_.replica->Apply(w.key, w.value, r.value.revision);
+    for (const wire::Write& w : writes) {
+      LogEnd(w);
+      d_.replica->Apply(w.key, w.value, r.value.revision);
+    }
     std::set<std::string> machines(t.machines.begin(), t.machines.end());
     for (const auto& m : machines) Tell(term, m);
   }
   co_return true;
 }
 
+void Duties::LogEnd(const wire::Write& w) const {
+  const store::ParsedKey key = store::ParseKey(w.key);
+  if (key.kind != store::KeyKind::kJob || !w.value.empty()) return;
+  const jobs::Job* job = d_.ledger->Find(key.job);
+  if (job == nullptr) return;
+  spdlog::info("job {} ({}) {} {:.1f} s after its submission: {} x {} cpus, mean run {:.1f} s",
+               key.job, job->spec.lane, job->cancelled ? "cancelled" : "done",
+               d_.time_of_day() - job->submitted, job->spec.tasks, job->spec.cpus,
+               job->MeanRun().value_or(0));
+}
+
 void Duties::Tell(rt::Scope& term, const std::string& machine) {
   if (!told_.insert(machine).second) {
     to_tell_.insert(machine);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -60,7 +60,7 @@
 // Operators' own settings: ratios to the platform's figures, every one of them optional.
 struct Operator {
   double round_s = 2.0;           // time between two rounds of mapping, at first
-  double leader_ttl_ratio = 1.0;  // leader's lease on the state service / report_s
+  double leader_ttl_ratio = 0.5;  // leader's lease on the state service / report_s
   double blind_ratio = 0.5;       // answers without the state service: at most this / lease_s
   double silent_ratio = 4.0;      // a machine is given up after this many report_s in silence
   double idle_ratio = 3.0;        // an idle machine is returned after this many readyS
