--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -41,6 +41,7 @@
 void Duties::Begin(rt::Scope& term) {
   term_ = &term;
   roster_.BeginTerm(d_.leadership->token(), term.loop().Now(), d_.leadership->others_until());
+  term_began_ = d_.leadership->token();
   context_.flavors = *d_.flavors;
   told_.clear();
   to_tell_.clear();
@@ -77,13 +78,19 @@
   fleet::Machine* m = roster_.Find(report.machine);
   std::vector<wire::Order> orders;
   const bool newest = m->tenure == report.tenure && m->tick == report.tick;
-  if (newest) orders = roster_.Orders(*m, *d_.ledger, false);
+  if (newest && CaughtUp()) orders = roster_.Orders(*m, *d_.ledger, false);
   // Counted before the answer goes out: the lease may be renewed from here on.
   roster_.OnAnswered(report.machine, now);
   return {.status = 200, .body = wire::WriteCheckinAnswer(roster_.token(), orders)};
 }
 
+bool Duties::CaughtUp() const { return d_.replica->revision() >= term_began_; }
+
 rt::Task<> Duties::RoundLoop(rt::Scope& term) {
+  while (!term.cancelled() && !CaughtUp()) {
+    auto wait = d_.replica->changed().Await(term, d_.settings->report_s);
+    co_await wait;
+  }
   while (!term.cancelled()) {
     const double gap =
         std::clamp(kRoundRest * round_took_, kRoundGap * d_.settings->report_s,
@@ -180,7 +187,10 @@
   do {
     to_tell_.erase(machine);
     fleet::Machine* m = roster_.Find(machine);
-    if (m == nullptr || m->endpoint.empty() || !m->reported() || !d_.leadership->Entitled()) break;
+    if (m == nullptr || m->endpoint.empty() || !m->reported() || !d_.leadership->Entitled() ||
+        !CaughtUp()) {
+      break;
+    }
     const uint64_t token = roster_.token();
     auto orders = roster_.Orders(*m, *d_.ledger, true);
     wire::HttpRequest q{.method = "POST",
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -40,6 +40,9 @@
   wire::HttpResponse OnCheckin(const wire::Report& report);
 
  private:
+  // A warm copy may lag behind what the former leader wrote last. Until it has passed our own first
+  // write, it must not be acted upon: what it lacks would be stopped, or forgotten, as unrecorded.
+  bool CaughtUp() const;
   rt::Task<> RoundLoop(rt::Scope& term);
   rt::Task<> Round(rt::Scope& term);
   // False if something did not get written: the records decide what comes next.
@@ -68,6 +71,7 @@
   std::set<std::string> told_;     // machines with a direct command under way
   std::set<std::string> to_tell_;  // and those that need another one after it
   std::vector<plan::Want> wants_;
+  uint64_t term_began_ = 0;
   double round_took_ = 0;
   double flavors_at_ = -1;
 };
