Bands within a tier: little work left first, hopeless jobs last

Jobs that can't make their aim any more wait for the others up to three times the aim, then count as the others do.

--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -29,6 +29,9 @@
          std::find(s.flavors.begin(), s.flavors.end(), m.flavor) != s.flavors.end();
 }
 
+// Parts of a tier.
+constexpr int kBands = 16;
+
 struct TeamState {
   double cpus_left = std::numeric_limits<double>::infinity();
   double gpus_left = std::numeric_limits<double>::infinity();
@@ -155,7 +158,8 @@
       if (within) guaranteed_.insert(job);
       NotePrompt(*job);
       if (job->waiting() == 0) continue;
-      waiters_.push_back({job, within, TierOf(*job, within), job->waiting()});
+      const int tier = TierOf(*job, within) * kBands + Band(*job);
+      waiters_.push_back({job, within, tier, job->waiting()});
     }
     std::stable_sort(waiters_.begin(), waiters_.end(),
                      [](const Waiter& a, const Waiter& b) { return a.tier < b.tier; });
@@ -187,6 +191,23 @@
     return 3 + 2 * urgency + (within ? 0 : 1);
   }
 
+  // Within a tier: jobs with little left go first, since that ends the most jobs in time; those that
+  // can't make their aim any more come after those that can, until they have waited long enough.
+  int Band(const jobs::Job& job) const {
+    const double run = job.MeanRun().value_or(job.spec.estimate_s);
+    const double left = static_cast<double>(job.spec.tasks - job.done()) * run * job.spec.cpus;
+    const double unit = 10 * context_.settings->report_s;
+    int band = std::clamp(static_cast<int>(std::log2(left / unit + 1) / 2), 0, kBands / 2 - 1);
+    const double age = wall_now_ - job.submitted;
+    for (const config::Objective& o : context_.settings->objectives) {
+      if (o.kind != "finished" || o.lane != job.spec.lane) continue;
+      const bool late = age + run > o.within_s;
+      if (late && age < 3 * o.within_s) band += kBands / 2;
+      break;
+    }
+    return band;
+  }
+
   double BootTime() const {
     double boot = context_.settings->report_s;
     for (const wire::Flavor& f : context_.flavors) boot = std::max(boot, f.ready_s);
