--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -54,6 +54,7 @@
 
   RoundResult Run() {
     SortJobs();
+    LeaveNoticed();
     BuildMachines();
     BuildWaiters();
     size_t left = kOldest;
@@ -79,6 +80,23 @@
     });
   }
 
+  // Machines that are about to be taken: what can't end in time saves, if it can, or starts anew
+  // elsewhere now rather than after its machine is found to be gone.
+  void LeaveNoticed() {
+    const double report = context_.settings->report_s;
+    for (const auto& [name, m] : roster_.all()) {
+      if (!m.noticed()) continue;
+      const double left = m.reclaim_at - now_;
+      for (const auto& [task, attempt] : ledger_.On(name)) {
+        const jobs::Job* job = ledger_.Find(task.job);
+        if (job == nullptr || roster_.Stopping(task, attempt)) continue;
+        if (Remaining(*job, m, task, attempt) < left - kStopReports * report) continue;
+        const bool saves = job->spec.snapshot_every_s > 0 && job->spec.snapshot_s < left;
+        result_.preemptions.push_back({task, attempt, saves ? job->spec.snapshot_s : 0});
+      }
+    }
+  }
+
   size_t ZoneIndex(const std::string& zone) {
     return zones_.try_emplace(zone, zones_.size()).first->second;
   }
