--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -29,8 +29,6 @@
          std::find(s.flavors.begin(), s.flavors.end(), m.flavor) != s.flavors.end();
 }
 
-// Jobs that can't make their aim wait for others until their age is this many times the aim.
-constexpr double kHopelessAims = 3;
 // Parts of a tier.
 constexpr int kBands = 16;
 
@@ -178,8 +176,7 @@
       if (within) guaranteed_.insert(job);
       NotePrompt(*job);
       if (job->waiting() == 0) continue;
-      int tier = TierOf(*job, within) * kBands + Band(*job);
-      if (Hopeless(*job) && job->spec.urgency == wire::Urgency::kNormal) tier += 4 * kBands;
+      const int tier = TierOf(*job, within) * kBands + Band(*job);
       waiters_.push_back({job, within, tier, job->waiting()});
     }
     std::stable_sort(waiters_.begin(), waiters_.end(),
@@ -219,18 +216,14 @@
     const double left = static_cast<double>(job.spec.tasks - job.done()) * run * job.spec.cpus;
     const double unit = 10 * context_.settings->report_s;
     int band = std::clamp(static_cast<int>(std::log2(left / unit + 1) / 2), 0, kBands / 2 - 1);
-    return Hopeless(job) ? band + kBands / 2 : band;
-  }
-
-  // True for jobs that can't make their aim any more and have not waited for a few times that.
-  bool Hopeless(const jobs::Job& job) const {
     const double age = wall_now_ - job.submitted;
-    const double run = job.MeanRun().value_or(job.spec.estimate_s);
     for (const config::Objective& o : context_.settings->objectives) {
       if (o.kind != "finished" || o.lane != job.spec.lane) continue;
-      return age + run > o.within_s && age < kHopelessAims * o.within_s;
+      const bool late = age + run > o.within_s;
+      if (late && age < 3 * o.within_s) band += kBands / 2;
+      break;
     }
-    return false;
+    return band;
   }
 
   double BootTime() const {
