--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -114,6 +114,11 @@
   }
   // What has ended first: it makes room.
   auto outcomes = roster_.Collect(*d_.ledger, term.loop().Now());
+  std::map<std::string, int> requeued;
+  for (const auto& m : outcomes) {
+    if (m.kind == jobs::Mutation::Kind::kRequeue) ++requeued[m.machine + ": " + m.why];
+  }
+  for (const auto& [why, n] : requeued) spdlog::info("{} tasks back from {}", n, why);
   bool written = co_await Commit(term, std::move(outcomes));
   if (!written || term.cancelled()) co_return;
   const double begin = term.loop().Now();
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -352,7 +352,7 @@
         return &out.back();
       };
       if (m == nullptr || !m->reported()) {
-        if (gone) mutation(Kind::kRequeue);
+        if (gone) mutation(Kind::kRequeue)->why = "machine gone";
         continue;
       }
       auto held = m->held.find(task);
@@ -365,18 +365,18 @@
             mu->run_s = h.run_s;
             mu->flavor = m->flavor;
           } else {
-            mutation(Kind::kRequeue);
+            mutation(Kind::kRequeue)->why = wire::CauseName(h.cause);
           }
           continue;
         }
       } else {
         if (Unwanted(*m, task, attempt, ledger) && ProvenAbsent(*m, task)) {
-          mutation(Kind::kRequeue);
+          mutation(Kind::kRequeue)->why = "never started";
           continue;
         }
       }
       // An expired lease: the worker has killed it, heard or not.
-      if (gone) mutation(Kind::kRequeue);
+      if (gone) mutation(Kind::kRequeue)->why = "lease expired";
     }
   }
   // Wishes to stop what is no longer recorded are fulfilled.
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -38,6 +38,7 @@
   std::string machine;
   double run_s = 0;    // kDone: 0 if unknown
   std::string flavor;  // kDone
+  std::string why;     // kRequeue: for the log
 };
 
 class Ledger {
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -46,6 +46,12 @@
   size_t count;
 };
 
+// What the mapping gives a task that can't start now; by default it has no slot at all.
+struct Later {
+  double start = std::numeric_limits<double>::infinity();
+  double completion = std::numeric_limits<double>::infinity();
+};
+
 class Round {
  public:
   Round(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster, double now,
@@ -209,8 +215,9 @@
     return 3 + 2 * urgency + (within ? 0 : 1);
   }
 
-  // Within a tier: jobs with little left go first, since that ends the most jobs in time; those that
-  // can't make their aim any more come after those that can, until they have waited long enough.
+  // Within a tier: jobs with little left go first, since that ends the most jobs in time; those
+  // that can't make their aim any more come after those that can, until they have waited long
+  // enough.
   int Band(const jobs::Job& job) const {
     const double run = job.MeanRun().value_or(job.spec.estimate_s);
     const double left = static_cast<double>(job.spec.tasks - job.done()) * run * job.spec.cpus;
@@ -309,14 +316,14 @@
     for (size_t i = begin; i < end; ++i) classes.push_back(ClassOf(waiters_[i]));
     const Map map = Duplex(classes, slots_, limit);
     std::vector<size_t> started(classes.size(), 0), later(classes.size(), 0);
-    std::vector<std::vector<double>> starts(classes.size());
+    std::vector<std::vector<Later>> laters(classes.size());
     std::vector<std::vector<uint32_t>> numbers(classes.size());
     for (const Assignment& a : map.assignments) {
       const Waiter& w = waiters_[begin + a.task_class];
       if (a.start > kNow) {
         const wire::Flavor* f = context_.FindFlavor(machines_[a.machine]->flavor);
         if (a.start < kWorthRenting * f->ready_s) ++later[a.task_class];
-        starts[a.task_class].push_back(a.start);
+        laters[a.task_class].push_back({a.start, a.start + a.run_s});
         continue;
       }
       auto& list = numbers[a.task_class];
@@ -332,8 +339,8 @@
       const Waiter& w = waiters_[begin + c];
       const size_t unmet = w.count - started[c] - later[c];
       if (unmet > 0) AddWant(w, unmet);
-      starts[c].resize(w.count - started[c], std::numeric_limits<double>::infinity());
-      Preempt(w, classes[c], starts[c]);
+      laters[c].resize(w.count - started[c]);
+      Preempt(w, classes[c], laters[c]);
     }
     return map.assignments.size();
   }
@@ -390,13 +397,13 @@
   }
 
   // Stops work of lower rank where that lets tasks start clearly sooner than waiting would.
-  // `starts`: when the waiting tasks would start otherwise.
-  void Preempt(const Waiter& w, const TaskClass& tc, const std::vector<double>& starts) {
+  // `laters`: what the mapping gives the waiting tasks otherwise.
+  void Preempt(const Waiter& w, const TaskClass& tc, const std::vector<Later>& laters) {
     if (w.job->spec.urgency > wire::Urgency::kUrgent && !w.guaranteed) return;
     const double report = context_.settings->report_s;
     const double patience = Patience(w);
-    for (const double start : starts) {
-      if (start <= patience) continue;
+    for (const Later& later : laters) {
+      if (later.start <= patience) continue;
       double best_cost = std::numeric_limits<double>::infinity();
       std::vector<Preemption> best;
       for (size_t i = 0; i < machines_.size(); ++i) {
@@ -414,7 +421,10 @@
           const bool prompt = context_.prompt_lanes.contains(w.job->spec.lane);
           const bool saves = job->spec.snapshot_every_s > 0 && !prompt;
           const double grace = saves ? job->spec.snapshot_s : 0;
-          if (grace + kStopReports * report + report > start) continue;
+          // Compared by completion, as the mapping does: else the task would wait for another slot
+          // even so, what was stopped would start again in the room made, and be stopped again.
+          const double stop = grace + kStopReports * report;
+          if (stop + report + tc.run_s[i] > later.completion) continue;
           victims.emplace_back(Loss(*job, held->second, grace), task, attempt, grace,
                                NeedOf(job->spec));
         }
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -157,6 +157,8 @@
 std::string_view PhaseName(Phase phase) { return NameOf(kPhases, phase); }
 std::optional<Phase> ParsePhase(std::string_view name) { return ValueOf(kPhases, name); }
 
+std::string_view CauseName(Cause cause) { return NameOf(kCauses, cause); }
+
 bool IsJobId(std::string_view id) {
   constexpr std::string_view kPrefix = "run-";
   if (!id.starts_with(kPrefix) || id.size() < kPrefix.size() + 1 || id.size() > 64) return false;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -73,6 +73,8 @@
 enum class PieceState { kFetching, kRunning, kSaving, kExited };
 enum class Cause { kNone, kDone, kStopped, kError, kNoRoom, kBusy, kUnknown };
 
+std::string_view CauseName(Cause cause);
+
 struct TaskId {
   std::string job;
   uint32_t index = 0;
