--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -64,7 +64,7 @@
   double blind_ratio = 0.5;       // answers without the state service: at most this / lease_s
   double silent_ratio = 3.0;      // a machine is given up after this many report_s in silence
   double idle_ratio = 6.0;        // an idle machine is returned after this many readyS
-  double headroom = 0.25;         // machines kept beyond what runs and waits
+  double headroom = 1.0;          // machines kept beyond what runs and waits
   double urgent_reserve = 0.08;   // share of all processors kept for prod and urgent work
 };
 
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -14,7 +14,7 @@
 // A start within this part of a report period counts as now.
 constexpr double kNow = 1e-6;
 // A new machine is worth renting for tasks that would else wait this part of its boot time.
-constexpr double kWorthRenting = 0.5;
+constexpr double kWorthRenting = 0.2;
 // A lane is prompt if its tasks should start within this many report periods.
 constexpr double kPromptReports = 3;
 // What a stop takes beyond saving, in report periods.
