--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -132,10 +132,15 @@
   }
   for (const plan::Preemption& p : plan.preemptions) {
     roster_.Stop(p.task, p.attempt, p.grace_s);
+    spdlog::debug("stop {} for {}", wire::TaskName(p.task),
+                  p.for_job.empty() ? "its machine's notice" : p.for_job);
     for (const auto& [name, m] : roster_.all()) {
       if (d_.ledger->On(name).contains(p.task)) Tell(term, name);
     }
   }
+  for (const auto& m : plan.places) {
+    spdlog::debug("place {} try {} on {}", wire::TaskName(m.task), m.attempt, m.machine);
+  }
   if (!plan.places.empty()) {
     bool placed = co_await Commit(term, std::move(plan.places));
     (void)placed;
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -98,7 +98,7 @@
         if (job == nullptr || roster_.Stopping(task, attempt)) continue;
         if (Remaining(*job, m, task, attempt) < left - kStopReports * report) continue;
         const bool saves = job->spec.snapshot_every_s > 0 && job->spec.snapshot_s < left;
-        result_.preemptions.push_back({task, attempt, saves ? job->spec.snapshot_s : 0});
+        result_.preemptions.push_back({task, attempt, saves ? job->spec.snapshot_s : 0, {}});
       }
     }
   }
@@ -211,10 +211,14 @@
     const int urgency = static_cast<int>(job.spec.urgency);
     const bool urgent = job.spec.urgency <= wire::Urgency::kUrgent;
     if (within && urgent) return urgency;
-    if (within && wall_now_ - job.submitted > BootTime()) return 2;
+    if (Overdue(job, within)) return 2;
     return 3 + 2 * urgency + (within ? 0 : 1);
   }
 
+  bool Overdue(const jobs::Job& job, bool within) const {
+    return within && wall_now_ - job.submitted > BootTime();
+  }
+
   // Within a tier: jobs with little left go first, since that ends the most jobs in time; those
   // that can't make their aim any more come after those that can, until they have waited long
   // enough.
@@ -374,7 +378,7 @@
 
   bool MayStop(const Waiter& w, const jobs::Job& victim) const {
     if (victim.spec.urgency > w.job->spec.urgency) return true;
-    return w.guaranteed && victim.spec.team != w.job->spec.team && !guaranteed_.contains(&victim);
+    return Overdue(*w.job, w.guaranteed) && victim.spec.team != w.job->spec.team && !guaranteed_.contains(&victim);
   }
 
   // Work that would be lost, in seconds.
@@ -399,7 +403,8 @@
   // Stops work of lower rank where that lets tasks start clearly sooner than waiting would.
   // `laters`: what the mapping gives the waiting tasks otherwise.
   void Preempt(const Waiter& w, const TaskClass& tc, const std::vector<Later>& laters) {
-    if (w.job->spec.urgency > wire::Urgency::kUrgent && !w.guaranteed) return;
+    // Only who comes first in the order keeps the room that is made.
+    if (w.job->spec.urgency > wire::Urgency::kUrgent && !Overdue(*w.job, w.guaranteed)) return;
     const double report = context_.settings->report_s;
     const double patience = Patience(w);
     for (const Later& later : laters) {
@@ -437,7 +442,7 @@
           if (room.Fits(tc.need)) break;
           room += need;
           cost += loss;
-          chosen.push_back({task, attempt, grace});
+          chosen.push_back({task, attempt, grace, w.job->spec.id});
         }
         if (chosen.empty() || !room.Fits(tc.need) || cost >= best_cost) continue;
         best_cost = cost;
--- a/src/plan/round.h
+++ b/src/plan/round.h
@@ -28,6 +28,7 @@
   wire::TaskId task;
   uint64_t attempt = 0;
   double grace_s = 0;
+  std::string for_job;  // who gets the room; empty: the machine is about to be taken
 };
 
 struct RoundResult {
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -1,8 +1,9 @@
+#include "wire/peer.h"
+
 #include <gtest/gtest.h>
 
 #include <limits>
 
-#include "wire/peer.h"
 #include "wire/varint.h"
 
 namespace hallpier::wire {
@@ -30,9 +31,10 @@
   VarintReader wide(std::string_view("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x02", 10));
   wide.Varint();
   EXPECT_FALSE(wide.ok()) << "more than 64 bits";
-  VarintReader bytes(std::string_view("\x05"
-                                      "abc",
-                                      4));
+  VarintReader bytes(
+      std::string_view("\x05"
+                       "abc",
+                       4));
   bytes.Bytes();
   EXPECT_FALSE(bytes.ok()) << "a text longer than what is there";
 }
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -173,6 +173,86 @@
   EXPECT_TRUE(r.places.empty()) << "the room is not there yet";
 }
 
+// Seen on a recorded day: work within a guarantee stopped urgent tasks every half second, and they
+// took the room again, being first in the order.
+TEST_F(RoundTest, WorkWithinAGuaranteeStopsOthersOnlyOnceItComesFirst) {
+  settings_.teams = {{"other", 0, 0, 0, 0}, {"team", 8, 0, 0, 0}};
+  auto borrowed = Spec("run-1", 4);
+  borrowed.team = "other";
+  borrowed.urgency = wire::Urgency::kUrgent;
+  borrowed.estimate_s = 500;
+  PutJob(ledger_, borrowed, 1);
+  wire::Report report = ReportOf("vm-1", 1, 1, 7);
+  for (uint32_t i = 0; i < 4; ++i) {
+    Place(ledger_, "run-1", i, 1, "vm-1");
+    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
+  }
+  roster_.OnReport(report, 100, false);
+  auto owed = Spec("run-2", 1);
+  owed.urgency = wire::Urgency::kBestEffort;
+  PutJob(ledger_, owed, 90);
+  EXPECT_TRUE(Plan().preemptions.empty());
+  PutJob(ledger_, owed, 100 - 31);  // a machine boots in 30 s
+  auto r = Plan();
+  ASSERT_EQ(r.preemptions.size(), 1u);
+  EXPECT_EQ(r.preemptions[0].for_job, "run-2");
+}
+
+// Seen on a recorded day: the room was made on a machine that lacked the urgent task's image, where
+// it would have ended later than in the slot it had, so that it did not take the room.
+TEST_F(RoundTest, NothingIsStoppedWhereTheTaskWouldEndLaterEvenSo) {
+  auto low = Spec("run-1", 4);
+  low.urgency = wire::Urgency::kBestEffort;
+  low.estimate_s = 20;
+  PutJob(ledger_, low);
+  wire::Report report = ReportOf("vm-1", 1, 1, 7);
+  for (uint32_t i = 0; i < 4; ++i) {
+    Place(ledger_, "run-1", i, 1, "vm-1");
+    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
+  }
+  roster_.OnReport(report, 100, false);
+  auto high = Spec("run-2", 1);
+  high.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, high, 2);
+  EXPECT_EQ(Plan().preemptions.size(), 1u);
+  low.estimate_s = 8;  // the slot comes soon by itself
+  PutJob(ledger_, low);
+  EXPECT_TRUE(PlanRound(context_, ledger_, roster_, 104, 104).preemptions.empty());
+}
+
+TEST_F(RoundTest, JobsWithLittleLeftGoFirstAndHopelessOnesLast) {
+  settings_.objectives = {{"finished", "lane", 50, 0.9}};
+  auto big = Spec("run-1", 200), small = Spec("run-2", 2), hopeless = Spec("run-3", 1);
+  hopeless.estimate_s = 60;
+  PutJob(ledger_, hopeless, 97);
+  PutJob(ledger_, big, 98);
+  PutJob(ledger_, small, 99);
+  AddMachine("vm-1");
+  auto r = Plan();
+  EXPECT_EQ(PlacedOf(r, "run-2"), 2u);
+  EXPECT_EQ(PlacedOf(r, "run-1"), 2u);
+  EXPECT_EQ(PlacedOf(r, "run-3"), 0u);
+}
+
+TEST_F(RoundTest, ANoticedMachineIsLeftByWhatCannotEndInTime) {
+  auto saves = Spec("run-1", 1), lasts = Spec("run-2", 1), ends = Spec("run-3", 1);
+  saves.snapshot_every_s = 20;
+  saves.snapshot_s = 4;
+  saves.estimate_s = lasts.estimate_s = 100;
+  ends.estimate_s = 3;
+  wire::Report report = ReportOf("vm-1", 1, 1, 7);
+  report.reclaim_s = 8;
+  for (const auto& spec : {saves, lasts, ends}) {
+    PutJob(ledger_, spec);
+    Place(ledger_, spec.id, 0, 1, "vm-1");
+    report.pieces.push_back(PieceOf(spec.id, 0, 1, wire::PieceState::kRunning));
+  }
+  roster_.OnReport(report, 100, false);
+  std::map<std::string, double> grace;
+  for (const auto& p : Plan().preemptions) grace[p.task.job] = p.grace_s;
+  EXPECT_EQ(grace, (std::map<std::string, double>{{"run-1", 4}, {"run-2", 0}}));
+}
+
 TEST_F(RoundTest, SameRankIsNeverStopped) {
   auto spec = Spec("run-1", 4);
   spec.urgency = wire::Urgency::kUrgent;
