Of equal completions the fullest machine, except for urgent work

Cause: backtests and archive-scan need whole machines, and small tasks were spread over all of them. Jobs' ends are logged whichever of watch and answer comes first.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -156,6 +156,9 @@
   auto txns = jobs::BuildTxns(*d_.ledger, mutations, limits, stamp);
   for (jobs::Txn& t : txns) {
     const auto writes = t.writes;
+    // Taken now: the watch may bring the end before the answer does.
+    std::vector<std::string> ends;
+    for (const wire::Write& w : writes) DescribeEnd(w, &ends);
     auto r = co_await d_.client->Txn(std::move(t.guards), std::move(t.writes),
                                      t.urgent ? store::Urgent::kYes : store::Urgent::kNo);
     if (term.cancelled()) co_return false;
@@ -164,25 +167,23 @@
       spdlog::info("commit of {} writes failed ({})", writes.size(), static_cast<int>(r.status));
       co_return false;
     }
-    for (const wire::Write& w : writes) {
-      LogEnd(w);
-      d_.replica->Apply(w.key, w.value, r.value.revision);
-    }
+    for (const auto& line : ends) spdlog::info("{}", line);
+    for (const wire::Write& w : writes) d_.replica->Apply(w.key, w.value, r.value.revision);
     std::set<std::string> machines(t.machines.begin(), t.machines.end());
     for (const auto& m : machines) Tell(term, m);
   }
   co_return true;
 }
 
-void Duties::LogEnd(const wire::Write& w) const {
+void Duties::DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const {
   const store::ParsedKey key = store::ParseKey(w.key);
   if (key.kind != store::KeyKind::kJob || !w.value.empty()) return;
   const jobs::Job* job = d_.ledger->Find(key.job);
   if (job == nullptr) return;
-  spdlog::info("job {} ({}) {} {:.1f} s after its submission: {} x {} cpus, mean run {:.1f} s",
-               key.job, job->spec.lane, job->cancelled ? "cancelled" : "done",
-               d_.time_of_day() - job->submitted, job->spec.tasks, job->spec.cpus,
-               job->MeanRun().value_or(0));
+  lines->push_back(fmt::format(
+      "job {} ({}) {} {:.1f} s after its submission: {} x {} cpus, mean run {:.1f} s", key.job,
+      job->spec.lane, job->cancelled ? "cancelled" : "done", d_.time_of_day() - job->submitted,
+      job->spec.tasks, job->spec.cpus, job->MeanRun().value_or(0)));
 }
 
 void Duties::Tell(rt::Scope& term, const std::string& machine) {
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -53,7 +53,8 @@
   rt::Task<> Rent(rt::Scope& term);
   rt::Task<> ReturnMachines(rt::Scope& term);
   rt::Task<std::optional<wire::HttpResponse>> CallCloud(rt::Scope& term, wire::HttpRequest request);
-  void LogEnd(const wire::Write& w) const;
+  // Adds a line for the log if the write makes a job final.
+  void DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const;
   // Tells a worker its orders without waiting for its report; one command at a time.
   void Tell(rt::Scope& term, const std::string& machine);
   rt::Task<> TellLoop(rt::Scope& term, std::string machine);
--- a/src/plan/duplex.cc
+++ b/src/plan/duplex.cc
@@ -70,6 +70,7 @@
     std::vector<double> start;  // per machine; negative: none
     size_t best = 0;
     double completion = 0;  // on the best; infinite: nowhere
+    double room = 0;        // free processors of the best
   };
   constexpr double kNever = std::numeric_limits<double>::infinity();
   std::vector<State> states;
@@ -82,14 +83,18 @@
     const TaskClass& tc = classes[c];
     State& s = states[c];
     s.completion = kNever;
+    s.room = kNever;
     for (size_t m = 0; m < machines.size(); ++m) {
       if (s.start[m] < 0) continue;
       const size_t zone = machines[m].zone;
       if (tc.one_zone && s.fixed_zone >= 0 && static_cast<size_t>(s.fixed_zone) != zone) continue;
       if (!s.zone_room.empty() && s.zone_room[zone] == 0) continue;
       const double completion = s.start[m] + tc.run_s[m];
-      if (completion < s.completion) {
+      const double room = tc.pack ? machines[m].timeline.now().cpus : 0;
+      if (completion < s.completion - kEpsilon ||
+          (completion < s.completion + kEpsilon && room < s.room - kEpsilon)) {
         s.completion = completion;
+        s.room = room;
         s.best = m;
       }
     }
--- a/src/plan/duplex.h
+++ b/src/plan/duplex.h
@@ -47,6 +47,7 @@
   Room need;
   size_t count = 0;
   std::vector<double> run_s;  // per machine; negative: not allowed there
+  bool pack = false;          // of equal completions the fullest machine
   bool one_zone = false;
   int fixed_zone = -1;  // with one_zone: where the others are already
   // With spread: how many more tasks each zone may take; empty without.
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -280,6 +280,9 @@
     TaskClass tc;
     tc.need = NeedOf(spec);
     tc.count = w.count;
+    // Whole machines stay free for large tasks; what is urgent starts faster where little else
+    // does.
+    tc.pack = spec.urgency > wire::Urgency::kUrgent;
     tc.one_zone = spec.one_zone;
     for (const fleet::Machine* m : machines_) {
       const bool ok = Allowed(spec, *m) && !roster_.Failed(*m, spec.id);
@@ -378,7 +381,8 @@
 
   bool MayStop(const Waiter& w, const jobs::Job& victim) const {
     if (victim.spec.urgency > w.job->spec.urgency) return true;
-    return Overdue(*w.job, w.guaranteed) && victim.spec.team != w.job->spec.team && !guaranteed_.contains(&victim);
+    return Overdue(*w.job, w.guaranteed) && victim.spec.team != w.job->spec.team &&
+           !guaranteed_.contains(&victim);
   }
 
   // Work that would be lost, in seconds.
