Stand-ins and end-to-end tests; plan at once after takeover; no runaway renting

Stand-ins for state service, cloud and workers, by protocol, serve three end-to-end tests (a job over three nodes, an outage, two of three nodes ending) and a first try by hand. They showed that a new leader and newly reporting machines waited up to a round (2 s) for nothing, and that tasks which machines under way would serve were rented for again every second.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -33,8 +33,7 @@
 }  // namespace
 
 Controller::Controller(rt::Loop& loop, config::Settings settings, config::Operator operators)
-    : loop_(loop),
-      settings_(std::move(settings)),
+    : settings_(std::move(settings)),
       operators_(operators),
       root_(loop),
       ending_(loop),
@@ -86,15 +85,15 @@
   return true;
 }
 
-rt::Task<> Controller::Drain() {
+rt::Task<> Controller::Drain(std::function<void()> done) {
   co_await root_.Join();
-  loop_.Stop();
+  done();
 }
 
-void Controller::Shutdown() {
+void Controller::Shutdown(std::function<void()> done) {
   if (root_.cancelled()) return;
   root_.Cancel();
-  ending_.Spawn(Drain());
+  ending_.Spawn(Drain(std::move(done)));
 }
 
 void Controller::OnState(const std::string& key, const std::string& value) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -1,6 +1,7 @@
 // One controller node: wires the packages together and answers requests.
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "api/user_api.h"
@@ -21,8 +22,8 @@
 
   // False, with a reason, if it can't listen.
   bool Start(std::string* error);
-  // Ends every routine in order, then stops the loop.
-  void Shutdown();
+  // Ends every routine in order, then calls `done`.
+  void Shutdown(std::function<void()> done);
 
  private:
   rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
@@ -30,9 +31,8 @@
   wire::PeerStatus Status() const;
   bool Ready() const;
   void OnState(const std::string& key, const std::string& value);
-  rt::Task<> Drain();
+  rt::Task<> Drain(std::function<void()> done);
 
-  rt::Loop& loop_;
   const config::Settings settings_;
   const config::Operator operators_;
   rt::Scope root_;
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -47,6 +47,7 @@
   to_tell_.clear();
   wants_.clear();
   flavors_at_ = -1;
+  work_waits_ = true;  // what the former leader left undone
   term.Spawn(RoundLoop(term));
   term.Spawn(CloudLoop(term));
 }
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -19,8 +19,14 @@
   spdlog::set_default_logger(std::move(log));
 }
 
+struct Running {
+  hallpier::rt::Loop loop;
+  hallpier::app::Controller controller;
+};
+
 void OnSignal(struct ev_loop*, ev_signal* w, int) {
-  static_cast<hallpier::app::Controller*>(w->data)->Shutdown();
+  auto* running = static_cast<Running*>(w->data);
+  running->controller.Shutdown([running] { running->loop.Stop(); });
 }
 
 bool PrintFaults(const std::string& file, const std::vector<std::string>& faults) {
@@ -53,10 +59,9 @@
   }
   SetUpLog(settings.node);
   signal(SIGPIPE, SIG_IGN);
-  rt::Loop loop;
-  app::Controller controller(loop, std::move(settings), operators);
+  Running running{{}, {running.loop, std::move(settings), operators}};
   std::string error;
-  if (!controller.Start(&error)) {
+  if (!running.controller.Start(&error)) {
     spdlog::error("can't listen: {}", error);
     return 1;
   }
@@ -64,10 +69,10 @@
   ev_signal_init(&term, OnSignal, SIGTERM);
   ev_signal_init(&interrupt, OnSignal, SIGINT);
   for (ev_signal* w : {&term, &interrupt}) {
-    w->data = &controller;
-    ev_signal_start(loop.raw(), w);
+    w->data = &running;
+    ev_signal_start(running.loop.raw(), w);
   }
-  loop.Run();
-  for (ev_signal* w : {&term, &interrupt}) ev_signal_stop(loop.raw(), w);
+  running.loop.Run();
+  for (ev_signal* w : {&term, &interrupt}) ev_signal_stop(running.loop.raw(), w);
   return 0;
 }
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -73,6 +73,7 @@
   }
   const bool first = !m.reported();
   const bool moved_on = r.tenure > m.tenure;
+  const bool learned = r.token > m.token;
   m.endpoint = r.endpoint;
   m.flavor = r.flavor;
   m.zone = r.zone;
@@ -91,8 +92,8 @@
   m.reclaim_at = r.reclaim_s ? now + *r.reclaim_s : std::numeric_limits<double>::infinity();
   const auto before = m.held;
   TakePieces(m, r, now);
-  bool changed =
-      first || moved_on || had_notice != r.reclaim_s.has_value() || before.size() != m.held.size();
+  bool changed = learned || first || moved_on || had_notice != r.reclaim_s.has_value() ||
+                 before.size() != m.held.size();
   for (const auto& [task, h] : m.held) {
     auto old = before.find(task);
     changed = changed || old == before.end() || old->second.state != h.state ||
@@ -329,7 +330,7 @@
 }
 
 bool Roster::Usable(const Machine& m, double now) const {
-  return m.reported() && !m.returning && m.token == token_ &&
+  return m.reported() && !m.returning && m.token <= token_ &&
          m.reclaim_at == std::numeric_limits<double>::infinity() &&
          now - m.last_report < 1.8 * options_.report_s;
 }
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -329,7 +329,8 @@
       const Waiter& w = waiters_[begin + a.task_class];
       if (a.start > kNow) {
         const wire::Flavor* f = context_.FindFlavor(machines_[a.machine]->flavor);
-        if (a.start < kWorthRenting * f->ready_s) ++later[a.task_class];
+        const bool coming = !machines_[a.machine]->reported();
+        if (coming || a.start < kWorthRenting * f->ready_s) ++later[a.task_class];
         laters[a.task_class].push_back({a.start, a.start + a.run_s});
         continue;
       }
--- a/src/rt/loop.cc
+++ b/src/rt/loop.cc
@@ -19,6 +19,7 @@
 }
 
 void Loop::Run() {
+  stopped_ = false;
   while (!stopped_) {
     // Only what was ready at the start of the turn: descriptors get theirs as well.
     for (size_t n = ready_.size(); n > 0 && !stopped_; --n) {
--- /dev/null
+++ b/tests/end_to_end_test.cc
@@ -0,0 +1,233 @@
+// Whole controllers on loopback against stand-ins: takeover, outage, cancellation.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <set>
+
+#include "app/controller.h"
+#include "fixtures.h"
+#include "standins/standins.h"
+
+namespace hallpier {
+namespace {
+
+using namespace testing_support;
+
+constexpr double kReport = 0.2;
+
+class EndToEnd : public testing::Test {
+ protected:
+  EndToEnd() : scope_(loop_), client_(4, 1 << 20) {}
+
+  ~EndToEnd() override {
+    // Everything ends in order; whatever kept a routine from that would hang here.
+    size_t left = nodes_.size() - ended_.size();
+    auto ended = [&] {
+      if (--left == 0) loop_.Stop();
+    };
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (!ended_.contains(i)) nodes_[i]->Shutdown(ended);
+    }
+    if (left > 0) loop_.Run();
+    scope_.Cancel();
+    scope_.Spawn(StopWhenAlone());
+    loop_.Run();
+  }
+
+  rt::Task<> StopWhenAlone() {
+    while (scope_.live() > 1) {
+      rt::Sleep turn(idle_, 0);
+      co_await turn;
+    }
+    loop_.Stop();
+  }
+
+  void End(size_t i) {
+    ended_.insert(i);
+    nodes_[i]->Shutdown([] {});
+  }
+
+  // Ports of this process and test, so that tests may run side by side.
+  std::string At(int n) const { return "127.0.0.1:" + std::to_string(base_ + n); }
+
+  config::Settings NodeSettings(int i, int count) {
+    config::Settings s = SettingsOf();
+    s.node = "node-" + std::to_string(i);
+    s.listen = At(2 * i);
+    s.peer_bind = At(2 * i + 1);
+    for (int j = 0; j < count; ++j) {
+      if (j != i) s.seeds.push_back({"node-" + std::to_string(j), "a", At(2 * j + 1)});
+    }
+    s.size = count;
+    s.state = At(20);
+    s.cloud = At(21);
+    s.report_s = kReport;
+    s.lease_s = 3;
+    s.list_lag_s = 0.1;
+    s.cloud_rps = 50;
+    s.state_rps = 2000;
+    s.state_write_rps = 500;
+    return s;
+  }
+
+  void Start(int count) {
+    std::string error;
+    standins::Cloud::Options options;
+    for (int i = 0; i < count; ++i) {
+      options.controllers.push_back(At(2 * i));
+      options.nodes.push_back("node-" + std::to_string(i));
+    }
+    options.report_s = kReport;
+    options.lease_s = 3;
+    options.run_s = 0.3;
+    options.first_port = base_ + 30;
+    state_ = std::make_unique<standins::State>(scope_);
+    cloud_ = std::make_unique<standins::Cloud>(scope_, options);
+    ASSERT_TRUE(state_->Listen(At(20), &error)) << error;
+    ASSERT_TRUE(cloud_->Listen(At(21), &error)) << error;
+    for (int i = 0; i < count; ++i) {
+      nodes_.push_back(
+          std::make_unique<app::Controller>(loop_, NodeSettings(i, count), config::Operator()));
+      ASSERT_TRUE(nodes_.back()->Start(&error)) << error;
+    }
+  }
+
+  // Runs the test's own routine, then everything's orderly end.
+  void Run(rt::Task<> script) {
+    scope_.Spawn(Script(std::move(script)));
+    loop_.Run();
+    EXPECT_TRUE(finished_);
+  }
+
+  rt::Task<> Script(rt::Task<> script) {
+    rt::Task<> owned = std::move(script);
+    co_await owned;
+    finished_ = true;
+    loop_.Stop();
+  }
+
+  rt::Task<wire::HttpResponse> Ask(int node, std::string method, std::string target,
+                                   std::string body = "") {
+    wire::HttpRequest q{.method = method, .target = target, .body = body};
+    auto r = co_await client_.Call(scope_, At(2 * node), std::move(q), 2, true);
+    co_return r.value_or(wire::HttpResponse{.status = 0, .body = ""});
+  }
+
+  static std::string Body(const wire::JobSpec& spec) {
+    wire::JsonWriter w;
+    wire::WriteJobSpec(w, spec);
+    return w.Take();
+  }
+
+  // Asks again, as users do, until the answer has the wanted status.
+  rt::Task<bool> Until(int node, std::string method, std::string target, std::string body,
+                       int status, std::string text, double limit_s) {
+    const double end = loop_.Now() + limit_s;
+    while (loop_.Now() < end) {
+      wire::HttpResponse r = co_await Ask(node, method, target, body);
+      if (r.status == status && r.body.find(text) != std::string::npos) co_return true;
+      rt::Sleep pause(scope_, 0.1);
+      co_await pause;
+    }
+    co_return false;
+  }
+
+  static int NextBase() {
+    static int base = 20000 + (getpid() * 256) % 40000;
+    return base += 64;
+  }
+
+  const int base_ = NextBase();
+  rt::Loop loop_;
+  rt::Scope scope_;
+  rt::Scope idle_{loop_};
+  std::set<size_t> ended_;
+  net::HttpClient client_;
+  std::unique_ptr<standins::State> state_;
+  std::unique_ptr<standins::Cloud> cloud_;
+  std::vector<std::unique_ptr<app::Controller>> nodes_;
+  bool finished_ = false;
+};
+
+rt::Task<> RunsAJob(EndToEnd* t, rt::Task<bool> submitted, rt::Task<bool> done) {
+  (void)t;
+  bool ok = co_await submitted;
+  EXPECT_TRUE(ok);
+  ok = co_await done;
+  EXPECT_TRUE(ok);
+}
+
+TEST_F(EndToEnd, AnyNodeTakesAJobAndAnyNodeTellsThatItIsDone) {
+  Start(3);
+  const std::string body = Body(Spec("run-1", 9));
+  Run(RunsAJob(this, Until(1, "POST", "/submissions", body, 201, "pending", 10),
+               Until(2, "GET", "/submissions/run-1", "", 200, "\"done\",\"done\":9", 20)));
+  EXPECT_EQ(cloud_->starts(), 9);
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
+class OutageTest : public EndToEnd {
+ public:
+  rt::Task<> Outage() {
+    auto spec = Spec("run-2", 3);
+    bool ok = co_await Until(0, "POST", "/submissions", Body(spec), 201, "", 10);
+    EXPECT_TRUE(ok);
+    state_->SetOutage(true);
+    // Asked about anything, a node must not say "unknown" while it can't know; and it says at once
+    // when to come back.
+    wire::HttpResponse r = co_await Ask(0, "GET", "/submissions/run-77");
+    EXPECT_EQ(r.status, 503);
+    EXPECT_GT(r.retry_after_s, 0);
+    rt::Sleep pause(scope_, 1);
+    co_await pause;
+    state_->SetOutage(false);
+    ok = co_await Until(0, "GET", "/submissions/run-2", "", 200, "\"done\"", 20);
+    EXPECT_TRUE(ok);
+    r = co_await Ask(0, "GET", "/submissions/run-77");
+    EXPECT_EQ(r.status, 404);
+    r = co_await Ask(0, "POST", "/submissions", Body(spec));
+    EXPECT_EQ(r.status, 200) << "a late retry is told the state";
+    spec.cpus = 99;
+    r = co_await Ask(0, "POST", "/submissions", Body(spec));
+    EXPECT_EQ(r.status, 200) << "never 422 for what was accepted once";
+    spec.id = "run-3";
+    r = co_await Ask(0, "POST", "/submissions", Body(spec));
+    EXPECT_EQ(r.status, 422);
+  }
+};
+
+TEST_F(OutageTest, AnOutageDelaysButNeverMisinforms) {
+  Start(1);
+  Run(Outage());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
+class CrashTest : public EndToEnd {
+ public:
+  rt::Task<> Crash() {
+    bool ok = co_await Until(1, "POST", "/submissions", Body(Spec("run-4", 40)), 201, "", 10);
+    EXPECT_TRUE(ok);
+    ok = co_await Until(1, "GET", "/submissions/run-4", "", 200, "running", 10);
+    EXPECT_TRUE(ok);
+    End(0);
+    End(2);
+    ok = co_await Until(1, "GET", "/submissions/run-4", "", 200, "\"done\",\"done\":40", 30);
+    EXPECT_TRUE(ok);
+    ok = co_await Until(1, "POST", "/submissions", Body(Spec("run-5", 200)), 201, "", 10);
+    EXPECT_TRUE(ok);
+    wire::HttpResponse r = co_await Ask(1, "POST", "/submissions/run-5/withdraw");
+    EXPECT_EQ(r.status, 200);
+    EXPECT_NE(r.body.find("cancelled"), std::string::npos);
+    ok = co_await Until(1, "GET", "/submissions/run-5", "", 200, "cancelled", 5);
+    EXPECT_TRUE(ok);
+  }
+};
+
+TEST_F(CrashTest, OneNodeOfThreeCarriesOn) {
+  Start(3);
+  Run(Crash());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
+}  // namespace
+}  // namespace hallpier
--- /dev/null
+++ b/tests/standins/standins.cc
@@ -0,0 +1,444 @@
+#include "standins/standins.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hallpier::standins {
+namespace {
+
+const net::HttpServer::Limits kLimits = {1000, 256 * 1024, 600, 10};
+
+wire::HttpResponse Answer(int status, std::string body) {
+  return {.status = status, .body = std::move(body)};
+}
+
+std::map<std::string, std::string> Query(const std::string& target) {
+  std::map<std::string, std::string> out;
+  for (auto& [k, v] : wire::ParseQuery(target)) out[k] = v;
+  return out;
+}
+
+uint64_t Number(const std::string& text) {
+  uint64_t n = 0;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
+void WriteEntry(wire::JsonWriter& w, const std::string& key, const std::string& value,
+                uint64_t stamp) {
+  w.StartObject();
+  w.Field("key").Text(key);
+  w.Field("data").Raw(value);
+  w.Field("stamp").Uint64(stamp);
+  w.EndObject();
+}
+
+std::string Revision(uint64_t revision) {
+  wire::JsonWriter w;
+  w.StartObject();
+  w.Field("rev").Uint64(revision);
+  w.EndObject();
+  return w.Take();
+}
+
+}  // namespace
+
+State::State(rt::Scope& scope)
+    : scope_(scope),
+      server_(scope, kLimits, [this](wire::HttpRequest r) { return Handle(std::move(r)); }) {
+  scope_.Spawn(ExpireLoop());
+}
+
+void State::SetOutage(bool on) {
+  outage_ = on;
+  if (on) return;
+  // After an outage every lease has its full time again.
+  for (auto& [permit, hold] : holds_) hold.until = scope_.loop().Now() + hold.ttl_s;
+}
+
+rt::Task<> State::ExpireLoop() {
+  while (!scope_.cancelled()) {
+    rt::Sleep pause(scope_, 0.02);
+    co_await pause;
+    std::vector<uint64_t> over;
+    for (const auto& [permit, hold] : holds_) {
+      if (!outage_ && scope_.loop().Now() > hold.until) over.push_back(permit);
+    }
+    for (uint64_t permit : over) EndHold(permit);
+  }
+}
+
+void State::Put(const std::string& key, const std::string& value, uint64_t permit) {
+  if (value.empty()) {
+    if (keys_.erase(key) == 0) return;
+  } else {
+    keys_[key] = {value, revision_, permit};
+  }
+  changes_.push_back({key, value, revision_});
+}
+
+void State::EndHold(uint64_t permit) {
+  holds_.erase(permit);
+  std::vector<std::string> attached;
+  for (const auto& [key, k] : keys_) {
+    if (k.permit == permit) attached.push_back(key);
+  }
+  if (attached.empty()) return;
+  ++revision_;
+  for (const auto& key : attached) Put(key, "", 0);
+  changed_.Notify();
+}
+
+wire::HttpResponse State::Txn(const std::string& body) {
+  auto d = wire::ParseObject(body);
+  if (!d) return Answer(400, "{}");
+  wire::JsonWriter failed;
+  failed.StartObject();
+  failed.Field("failed").StartArray();
+  bool good = true;
+  for (const auto& g : (*d)["guards"].GetArray()) {
+    const std::string key = *wire::GetText(g, "key");
+    auto it = keys_.find(key);
+    if ((it == keys_.end() ? 0 : it->second.stamp) == *wire::GetCount(g, "stamp")) continue;
+    good = false;
+    failed.Text(key);
+  }
+  failed.EndArray();
+  failed.Field("rev").Uint64(revision_);
+  failed.EndObject();
+  if (!good) return Answer(409, failed.Take());
+  for (const auto& o : (*d)["then"].GetArray()) {
+    auto permit = wire::GetCount(o, "permit");
+    if (permit && !holds_.contains(*permit)) return Answer(400, R"({"error":"no such lease"})");
+  }
+  ++revision_;
+  for (const auto& o : (*d)["then"].GetArray()) {
+    if (auto put = wire::GetText(o, "put")) {
+      Put(*put, wire::Dump(o["data"]), wire::GetCount(o, "permit").value_or(0));
+    } else {
+      Put(*wire::GetText(o, "drop"), "", 0);
+    }
+  }
+  changed_.Notify();
+  return Answer(200, Revision(revision_));
+}
+
+wire::HttpResponse State::List(const std::string& target) const {
+  auto q = Query(target);
+  wire::JsonWriter w;
+  w.StartObject();
+  w.Field("entries").StartArray();
+  for (const auto& [key, k] : keys_) {
+    if (key.starts_with(q["starts"]) && key > q["from"]) WriteEntry(w, key, k.value, k.stamp);
+  }
+  w.EndArray();
+  w.Field("truncated").Bool(false);
+  w.Field("rev").Uint64(revision_);
+  w.EndObject();
+  return Answer(200, w.Take());
+}
+
+wire::HttpResponse State::Holds(const wire::HttpRequest& r) {
+  const std::string path(r.path());
+  if (path == "/holds") {
+    auto d = wire::ParseObject(r.body);
+    const double ttl = static_cast<double>(wire::GetCount(*d, "ttlMs").value_or(0)) / 1000;
+    holds_[++next_permit_] = {ttl, scope_.loop().Now() + ttl};
+    wire::JsonWriter w;
+    w.StartObject();
+    w.Field("permit").Uint64(next_permit_);
+    w.EndObject();
+    return Answer(200, w.Take());
+  }
+  const uint64_t permit = Number(path.substr(7));
+  auto hold = holds_.find(permit);
+  if (hold == holds_.end()) return Answer(404, "{}");
+  if (r.method == "DELETE") {
+    EndHold(permit);
+  } else {
+    hold->second.until = scope_.loop().Now() + hold->second.ttl_s;
+  }
+  return Answer(200, "{}");
+}
+
+rt::Task<wire::HttpResponse> State::Follow(std::string target) {
+  auto q = Query(target);
+  const uint64_t from = Number(q["from"]);
+  const double until = scope_.loop().Now() + static_cast<double>(Number(q["blockMs"])) / 1000;
+  while (true) {
+    wire::JsonWriter w;
+    w.StartObject();
+    w.Field("rev").Uint64(revision_);
+    w.Field("news").StartArray();
+    bool any = false;
+    for (const auto& c : changes_) {
+      if (outage_ || c.stamp <= from || !c.key.starts_with(q["starts"])) continue;
+      any = true;
+      w.StartObject();
+      w.Field(c.value.empty() ? "drop" : "put").Text(c.key);
+      if (!c.value.empty()) w.Field("data").Raw(c.value);
+      w.Field("stamp").Uint64(c.stamp);
+      w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+    const double left = until - scope_.loop().Now();
+    if (any || left <= 0 || scope_.cancelled()) co_return Answer(200, w.Take());
+    auto wait = changed_.Await(scope_, left);
+    co_await wait;
+  }
+}
+
+rt::Task<wire::HttpResponse> State::Handle(wire::HttpRequest r) {
+  if (outage_) co_return Answer(503, "{}");
+  const std::string path(r.path());
+  if (path == "/follow") {
+    wire::HttpResponse answer = co_await Follow(r.target);
+    co_return answer;
+  }
+  if (path == "/txn") co_return Txn(r.body);
+  if (path.starts_with("/holds")) co_return Holds(r);
+  if (path == "/store") co_return List(r.target);
+  auto it = keys_.find(path.substr(std::min(path.size(), std::string_view("/store/").size())));
+  if (it == keys_.end()) co_return Answer(404, Revision(revision_));
+  wire::JsonWriter w;
+  WriteEntry(w, it->first, it->second.value, it->second.stamp);
+  co_return Answer(200, w.Take());
+}
+
+// One machine: reports, takes orders, runs each task for a set time.
+class Cloud::Worker {
+ public:
+  Worker(Cloud& cloud, wire::Listed listed)
+      : cloud_(cloud),
+        listed_(std::move(listed)),
+        life_(cloud.scope_.loop(), &cloud.scope_),
+        server_(life_, kLimits, [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
+        client_(1, 256 * 1024) {}
+
+  bool Start() {
+    std::string error;
+    if (!server_.Listen(listed_.endpoint, &error)) return false;
+    life_.Spawn(ReportLoop());
+    return true;
+  }
+  void End() {
+    life_.Cancel();
+    pieces_.clear();
+  }
+  const wire::Listed& listed() const { return listed_; }
+  bool Has(const wire::TaskId& task) const {
+    auto it = pieces_.find(task);
+    return it != pieces_.end() && it->second.state == "running";
+  }
+
+ private:
+  struct Running {
+    uint64_t attempt = 0;
+    std::string state = "running";
+    std::string cause;
+    double ends = 0;
+  };
+
+  std::string Report() {
+    wire::JsonWriter w;
+    w.StartObject();
+    w.Field("host").Text(listed_.machine);
+    w.Field("endpoint").Text(listed_.endpoint);
+    w.Field("flavor").Text(listed_.flavor);
+    w.Field("hall").Text(listed_.zone);
+    w.Field("lendable").Bool(listed_.spot);
+    w.Field("tenure").Uint64(tenure_);
+    w.Field("tick").Uint64(++tick_);
+    w.Field("epoch").Uint64(token_);
+    w.Field("pieces").StartArray();
+    for (const auto& [task, p] : pieces_) {
+      w.StartObject();
+      w.Field("piece").Text(wire::TaskName(task));
+      w.Field("try").Uint64(p.attempt);
+      w.Field("phase").Text(p.state);
+      if (!p.cause.empty()) w.Field("cause").Text(p.cause);
+      w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+    return w.Take();
+  }
+
+  void Execute(const wire::JsonValue& orders) {
+    for (const auto& o : orders.GetArray()) {
+      const std::string verb = *wire::GetText(o, "verb");
+      auto task = wire::ParseTaskName(*wire::GetText(o, "piece"));
+      const uint64_t attempt = *wire::GetCount(o, "try");
+      auto it = pieces_.find(*task);
+      const bool same = it != pieces_.end() && it->second.attempt == attempt;
+      if (verb == "run" && !same) {
+        cloud_.OnStart(this, *task);
+        Running p;
+        p.attempt = attempt;
+        p.ends = life_.loop().Now() + cloud_.options_.run_s;
+        pieces_[*task] = p;
+      } else if (verb == "stop" && same && it->second.state == "running") {
+        it->second.state = "ended";
+        it->second.cause = "stopped";
+      } else if (verb == "forget" && same && it->second.state == "ended") {
+        pieces_.erase(it);
+      }
+    }
+  }
+
+  bool Tick() {
+    bool changed = false;
+    for (auto& [task, p] : pieces_) {
+      if (p.state != "running" || life_.loop().Now() < p.ends) continue;
+      p.state = "ended";
+      p.cause = "done";
+      changed = true;
+    }
+    return changed;
+  }
+
+  rt::Task<> ReportLoop() {
+    size_t node = 0;
+    double renewed = life_.loop().Now();
+    double next = 0;
+    while (!life_.cancelled()) {
+      rt::Sleep pause(life_, cloud_.options_.report_s / 20);
+      co_await pause;
+      const double now = life_.loop().Now();
+      if (now - renewed > cloud_.options_.lease_s) {
+        pieces_.clear();
+        ++tenure_;
+        renewed = now;
+      }
+      if (!Tick() && now < next) continue;
+      next = now + cloud_.options_.report_s;
+      const uint64_t tenure = tenure_;
+      wire::HttpRequest q{.method = "POST", .target = "/checkin", .body = Report()};
+      auto r = co_await client_.Call(life_, cloud_.options_.controllers[node], std::move(q),
+                                     std::min(4.0, cloud_.options_.report_s), false);
+      if (life_.cancelled()) break;
+      auto d = r ? wire::ParseObject(r->body) : std::nullopt;
+      if (r && r->status == 200 && d) {
+        const uint64_t token = wire::GetCount(*d, "epoch").value_or(0);
+        if (token < token_ || tenure != tenure_) continue;
+        token_ = token;
+        renewed = now;
+        Execute((*d)["orders"]);
+        continue;
+      }
+      const auto& names = cloud_.options_.nodes;
+      auto named = d ? wire::GetText(*d, "foreman") : std::nullopt;
+      auto at = named ? std::find(names.begin(), names.end(), *named) : names.end();
+      node = at != names.end() ? static_cast<size_t>(at - names.begin())
+                               : (node + 1) % cloud_.options_.controllers.size();
+      next = now + cloud_.options_.report_s / 3;
+    }
+  }
+
+  rt::Task<wire::HttpResponse> Handle(wire::HttpRequest r) {
+    if (r.path() == "/show") co_return Answer(200, Report());
+    auto d = wire::ParseObject(r.body);
+    auto token = d ? wire::GetCount(*d, "epoch") : std::nullopt;
+    auto tenure = d ? wire::GetCount(*d, "tenure") : std::nullopt;
+    if (!token || !tenure) co_return Answer(400, "{}");
+    if (*token < token_ || *tenure != tenure_) co_return Answer(409, Report());
+    token_ = *token;
+    Execute((*d)["orders"]);
+    co_return Answer(200, Report());
+  }
+
+  Cloud& cloud_;
+  const wire::Listed listed_;
+  rt::Scope life_;
+  net::HttpServer server_;
+  net::HttpClient client_;
+  uint64_t tenure_ = 1;
+  uint64_t tick_ = 0;
+  uint64_t token_ = 0;
+  std::map<wire::TaskId, Running> pieces_;
+};
+
+Cloud::Cloud(rt::Scope& scope, Options options)
+    : scope_(scope),
+      options_(std::move(options)),
+      server_(scope, kLimits, [this](wire::HttpRequest r) { return Handle(std::move(r)); }) {}
+
+Cloud::~Cloud() = default;
+
+void Cloud::OnStart(const Worker* where, const wire::TaskId& task) {
+  ++starts_;
+  for (const auto& [name, other] : machines_) {
+    if (other.get() != where && other->Has(task)) ++started_twice_;
+  }
+}
+
+rt::Task<wire::HttpResponse> Cloud::Handle(wire::HttpRequest r) {
+  const std::string path(r.path());
+  if (path == "/flavors") {
+    wire::Flavor f;
+    f.name = "c4";
+    f.cpus = 4;
+    f.memory_gb = 16;
+    f.fetch_gb_per_s = 1;
+    f.price = 0.2;
+    f.spot_price = 0.1;
+    f.ready_s = 1;
+    f.zones = {"a", "b"};
+    co_return Answer(200, wire::WriteFlavors({f}));
+  }
+  if (path == "/rentals" && r.method == "GET") {
+    wire::JsonWriter w;
+    w.StartObject();
+    w.Field("hosts").StartArray();
+    for (const auto& [name, m] : machines_) {
+      w.StartObject();
+      w.Field("id").Text(name);
+      w.Field("endpoint").Text(m->listed().endpoint);
+      w.Field("flavor").Text(m->listed().flavor);
+      w.Field("hall").Text(m->listed().zone);
+      w.Field("lendable").Bool(m->listed().spot);
+      w.Field("phase").Text("running");
+      w.Field("heldS").Double(0);
+      w.EndObject();
+    }
+    w.EndArray();
+    w.Field("truncated").Bool(false);
+    w.EndObject();
+    co_return Answer(200, w.Take());
+  }
+  auto d = wire::ParseObject(r.body);
+  if (!d) co_return Answer(400, "{}");
+  if (path == "/rentals") {
+    const std::string request = *wire::GetText(*d, "hire");
+    if (answers_.contains(request)) co_return Answer(200, answers_[request]);
+    std::vector<std::string> names;
+    for (uint64_t i = 0; i < *wire::GetCount(*d, "howMany") && machines_.size() < 20; ++i) {
+      wire::Listed l;
+      std::string number = std::to_string(next_);
+      l.machine = "vm-" + std::string(6 - number.size(), '0') + number;
+      l.endpoint = "127.0.0.1:" + std::to_string(options_.first_port + next_);
+      l.flavor = "c4";
+      l.zone = *wire::GetText(*d, "hall");
+      l.spot = *wire::GetFlag(*d, "lendable");
+      ++next_;
+      auto worker = std::make_unique<Worker>(*this, l);
+      if (!worker->Start()) continue;
+      names.push_back(l.machine);
+      machines_[l.machine] = std::move(worker);
+    }
+    answers_[request] = wire::WriteReturn(names);
+    co_return Answer(200, answers_[request]);
+  }
+  for (const auto& v : (*d)["hosts"].GetArray()) {
+    auto it = machines_.find(v.GetString());
+    if (it == machines_.end()) continue;
+    it->second->End();
+    // Its routines unwind later; until then the object must stay.
+    gone_.push_back(std::move(it->second));
+    machines_.erase(it);
+  }
+  co_return Answer(200, "{}");
+}
+
+}  // namespace hallpier::standins
--- /dev/null
+++ b/tests/standins/standins.h
@@ -0,0 +1,95 @@
+// Stand-ins for the outside systems, by protocol: a state service, a cloud and its workers. They
+// serve the tests and a first try by hand; they are no simulation of real machines.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "wire/messages.h"
+
+namespace hallpier::standins {
+
+// Keys, stamps, leases and watches in memory.
+class State {
+ public:
+  explicit State(rt::Scope& scope);
+  bool Listen(const std::string& address, std::string* error) {
+    return server_.Listen(address, error);
+  }
+  // With an outage every request is refused, and no lease ends.
+  void SetOutage(bool on);
+  uint64_t writes() const { return revision_; }
+
+ private:
+  struct Key {
+    std::string value;
+    uint64_t stamp = 0;
+    uint64_t permit = 0;
+  };
+  struct Hold {
+    double ttl_s = 0;
+    double until = 0;
+  };
+  rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
+  rt::Task<wire::HttpResponse> Follow(std::string target);
+  wire::HttpResponse Txn(const std::string& body);
+  wire::HttpResponse List(const std::string& target) const;
+  wire::HttpResponse Holds(const wire::HttpRequest& request);
+  void Put(const std::string& key, const std::string& value, uint64_t permit);
+  void EndHold(uint64_t permit);
+  rt::Task<> ExpireLoop();
+
+  rt::Scope& scope_;
+  net::HttpServer server_;
+  std::map<std::string, Key> keys_;
+  std::map<uint64_t, Hold> holds_;
+  std::vector<wire::Change> changes_;
+  uint64_t revision_ = 0;
+  uint64_t next_permit_ = 0;
+  bool outage_ = false;
+  rt::Event changed_;
+};
+
+// Rents machines that are up at once, each with a worker that runs tasks by the clock.
+class Cloud {
+ public:
+  struct Options {
+    std::vector<std::string> controllers;  // addresses that workers report to
+    std::vector<std::string> nodes;        // their names, in the same order
+    double report_s = 3;
+    double lease_s = 45;
+    double run_s = 1;  // of every task
+    int first_port = 0;
+  };
+  Cloud(rt::Scope& scope, Options options);
+  ~Cloud();
+  bool Listen(const std::string& address, std::string* error) {
+    return server_.Listen(address, error);
+  }
+  // Starts of tasks so far, and those of a task that was on another machine at the time.
+  int starts() const { return starts_; }
+  int started_twice() const { return started_twice_; }
+
+ private:
+  class Worker;
+  rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
+  void OnStart(const Worker* where, const wire::TaskId& task);
+
+  rt::Scope& scope_;
+  const Options options_;
+  net::HttpServer server_;
+  std::map<std::string, std::unique_ptr<Worker>> machines_;
+  std::vector<std::unique_ptr<Worker>> gone_;
+  std::map<std::string, std::string> answers_;  // by request name
+  int next_ = 0;
+  int starts_ = 0;
+  int started_twice_ = 0;
+};
+
+}  // namespace hallpier::standins
