--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -41,9 +41,10 @@
     const bool known = old != m.held.end() && old->second.attempt == p.attempt;
     if (known && old->second.state == p.state) {
       h = old->second;
-    } else if (known && p.state == wire::PieceState::kExited) {
+    } else if (p.state == wire::PieceState::kExited) {
+      // A task may fail before any report has shown it alive: that counts like any other failure.
       NoteExit(m, p.task, p.cause);
-      if (old->second.state == wire::PieceState::kRunning && old->second.seen_start) {
+      if (known && old->second.state == wire::PieceState::kRunning && old->second.seen_start) {
         h.run_s = now - old->second.since;
       }
     } else if (p.state == wire::PieceState::kRunning) {
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -192,6 +192,18 @@
   for (const auto& [name, m] : roster_.all()) EXPECT_FALSE(m.returning) << name;
 }
 
+// Seen on a recorded day: a machine failed four tasks a second, each before a report showed it
+// alive.
+TEST_F(RosterTest, FailuresCountEvenIfTheTaskWasNeverSeenAlive) {
+  Checkin(1, 1, kToken, 1,
+          {PieceOf("run-2", 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
+  EXPECT_TRUE(roster_.Failed(*roster_.Find("vm-1"), "run-2"));
+  EXPECT_FALSE(roster_.Find("vm-1")->returning);
+  Checkin(1, 2, kToken, 2,
+          {PieceOf("run-3", 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
+  EXPECT_TRUE(roster_.Find("vm-1")->returning);
+}
+
 TEST_F(RosterTest, AMachineOnWhichSeveralJobsFailIsReturned) {
   uint64_t tick = 0;
   for (const char* job : {"run-2", "run-3"}) {
