Learn how slow machines are; replace those twice as slow as others

A machine that took twice its jobs' means over three tasks gets nothing new and is returned once it is empty.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -123,7 +123,7 @@
   bool written = co_await Commit(term, std::move(outcomes));
   if (!written || term.cancelled()) co_return;
   const double begin = term.loop().Now();
-  roster_.LearnImages(*d_.ledger);
+  roster_.Learn(*d_.ledger, begin);
   plan::RoundResult plan = plan::PlanRound(context_, *d_.ledger, roster_, begin, d_.time_of_day());
   round_took_ = term.loop().Now() - begin;
   wants_ = std::move(plan.wants);
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -107,6 +107,10 @@
       if (!ours) roster.Return(m, "silent");
       continue;
     }
+    if (Roster::Slow(m) && ledger.On(name).empty()) {
+      roster.Return(m, "slow");
+      continue;
+    }
     if (!wanting && idle > kept && now - m.idle_since > operators_.idle_ratio * f->ready_s) {
       --idle;
       roster.Return(m, "idle");
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -11,6 +11,11 @@
 constexpr double kDrift = 0.001;
 // A machine on which this many jobs failed, with no success between, is sick.
 constexpr size_t kSickJobs = 2;
+// A machine this many times slower than others is better replaced.
+constexpr double kSlow = 2;
+// That takes so many tasks, of jobs with so many ends; each moves the estimate by this part.
+constexpr uint32_t kSamples = 3;
+constexpr double kLearn = 0.4;
 // A job that failed on this many machines and was never done is itself to blame.
 constexpr size_t kBadJobMachines = 3;
 
@@ -103,15 +108,31 @@
   return changed;
 }
 
-void Roster::LearnImages(const jobs::Ledger& ledger) {
+void Roster::Learn(const jobs::Ledger& ledger, double now) {
   for (auto& [name, m] : machines_) {
-    for (const auto& [task, h] : m.held) {
+    for (auto& [task, h] : m.held) {
       const jobs::Job* job = ledger.Find(task.job);
-      if (job != nullptr && h.state == wire::PieceState::kRunning) m.images.insert(job->spec.image);
+      if (job == nullptr) continue;
+      const bool running = h.state == wire::PieceState::kRunning;
+      if (running) m.images.insert(job->spec.image);
+      const auto mean = job->MeanRun();
+      if (h.learned || !mean || *mean <= 0 || job->done() < kSamples) continue;
+      double ran = 0;
+      if (h.state == wire::PieceState::kExited && h.cause == wire::Cause::kDone) ran = h.run_s;
+      // A running task tells something once it has taken far too long, not before.
+      if (running && h.seen_start && now - h.since > kSlow * *mean) ran = now - h.since;
+      if (ran <= 0) continue;
+      h.learned = true;
+      ++m.slow_samples;
+      m.slowness += kLearn * (ran / *mean - m.slowness);
     }
   }
 }
 
+bool Roster::Slow(const Machine& m) {
+  return m.slow_samples >= static_cast<int>(kSamples) && m.slowness > kSlow;
+}
+
 void Roster::OnAnswered(const std::string& machine, double now) {
   if (Machine* m = Find(machine)) m->last_answer = now;
 }
@@ -331,7 +352,7 @@
 }
 
 bool Roster::Usable(const Machine& m, double now) const {
-  return m.reported() && !m.returning && m.token <= token_ &&
+  return m.reported() && !m.returning && !Slow(m) && m.token <= token_ &&
          m.reclaim_at == std::numeric_limits<double>::infinity() &&
          now - m.last_report < 1.8 * options_.report_s;
 }
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -24,6 +24,7 @@
   double since = 0;         // steady time of the first report of this state
   bool seen_start = false;  // we saw it start to run, so that `since` tells the run time
   double run_s = 0;         // of an exited task, if known
+  bool learned = false;     // its run time has been compared with its job's others
 };
 
 // The newest start order for a task under our token.
@@ -92,8 +93,10 @@
   // Takes in a report. `direct`: the answer to /commands, which renews nothing and does not follow
   // an answer of ours. True if something changed that a round should look at.
   bool OnReport(const wire::Report& r, double now, bool direct);
-  // Notes the images that running tasks prove to be on their machine.
-  void LearnImages(const jobs::Ledger& ledger);
+  // Learns from what runs and has run: images that are there, and how slow a machine is.
+  void Learn(const jobs::Ledger& ledger, double now);
+  // True if a machine takes so much longer than others that it is better replaced.
+  static bool Slow(const Machine& m);
   void OnAnswered(const std::string& machine, double now);
   void OnListed(const std::vector<wire::Listed>& machines, double now);
   void OnRented(const std::vector<std::string>& names, const wire::Rental& rental, double now);
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -286,7 +286,7 @@
     tc.one_zone = spec.one_zone;
     for (const fleet::Machine* m : machines_) {
       const bool ok = Allowed(spec, *m) && !roster_.Failed(*m, spec.id);
-      tc.run_s.push_back(ok ? PredictRun(*w.job, m->flavor) * m->slowness + Fetch(spec, *m) : -1);
+      tc.run_s.push_back(ok ? PredictRun(*w.job, m->flavor) + Fetch(spec, *m) : -1);
     }
     if (!spec.one_zone && !spec.spread) return tc;
     std::map<std::string, size_t> by_zone;
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -204,6 +204,31 @@
   EXPECT_TRUE(roster_.Find("vm-1")->returning);
 }
 
+TEST_F(RosterTest, AMachineThatTakesFarLongerThanOthersGetsNothingNew) {
+  store::Shard shard;
+  for (uint32_t i = 0; i < 3; ++i) shard.done.Insert(i);
+  shard.runs["c4"] = {3, 30};
+  auto spec = Spec("run-2", 9);
+  PutJob(ledger_, spec);
+  PutShard(ledger_, "run-2", 0, shard);
+  Place(ledger_, "run-2", 3, 1, "vm-1");
+  Place(ledger_, "run-2", 4, 1, "vm-1");
+  Place(ledger_, "run-2", 5, 1, "vm-1");
+  Checkin(1, 1, kToken, 0);
+  std::vector<wire::Piece> pieces;
+  for (uint32_t i : {3u, 4u, 5u}) {
+    pieces.push_back(PieceOf("run-2", i, 1, wire::PieceState::kRunning));
+  }
+  Checkin(1, 2, kToken, 1, pieces);
+  Checkin(1, 3, kToken, 15, pieces);
+  roster_.Learn(ledger_, 15);
+  EXPECT_TRUE(roster_.Usable(*roster_.Find("vm-1"), 15)) << "14 s for 10 s happens";
+  Checkin(1, 4, kToken, 45, pieces);
+  roster_.Learn(ledger_, 45);
+  EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 45));
+  EXPECT_GT(roster_.Find("vm-1")->slowness, 2);
+}
+
 TEST_F(RosterTest, AMachineOnWhichSeveralJobsFailIsReturned) {
   uint64_t tick = 0;
   for (const char* job : {"run-2", "run-3"}) {
