--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -165,7 +165,8 @@
     if (term.cancelled()) co_return false;
     if (!r.ok()) {
       // Lost or late: the watch tells what became of it, and the next round starts from there.
-      spdlog::info("commit of {} writes failed ({})", writes.size(), static_cast<int>(r.status));
+      spdlog::info("commit of {} writes failed ({}{})", writes.size(), static_cast<int>(r.status),
+                   r.value.failed.empty() ? "" : ", overtaken: " + r.value.failed.front());
       co_return false;
     }
     for (const auto& line : ends) spdlog::info("{}", line);
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -67,7 +67,6 @@
   Machine& m = it->second;
   if (fresh) {
     m.name = r.machine;
-    m.first_seen = now;
     m.rented_at = now;
     m.idle_since = now;
     // A late report, or a machine that a late rental request brought back: return it once more.
@@ -151,7 +150,7 @@
       m.zone = l.zone;
       m.spot = l.spot;
     }
-    if (fresh) m.first_seen = m.idle_since = now;
+    if (fresh) m.idle_since = now;
     if (!m.listed) {
       m.listed = true;
       m.first_listed = now;
@@ -186,7 +185,7 @@
     m.flavor = rental.flavor;
     m.zone = rental.zone;
     m.spot = rental.spot;
-    m.first_seen = m.rented_at = m.idle_since = now;
+    m.rented_at = m.idle_since = now;
   }
 }
 
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -49,7 +49,6 @@
   uint64_t tick = 0;
   uint64_t checkin_tick = 0;
   uint64_t token = 0;  // the highest it has seen, as far as we were told
-  double first_seen = 0;
   double last_report = -std::numeric_limits<double>::infinity();
   double last_answer = -std::numeric_limits<double>::infinity();
   double reclaim_at = std::numeric_limits<double>::infinity();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -21,8 +21,6 @@
   rt::Task<std::optional<wire::HttpResponse>> Call(rt::Scope& scope, std::string endpoint,
                                                    wire::HttpRequest request, double timeout_s,
                                                    bool repeatable);
-  // Forgets the kept connections of an endpoint.
-  void Drop(const std::string& endpoint) { idle_.erase(endpoint); }
 
  private:
   std::optional<Stream> TakeIdle(const std::string& endpoint);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,7 +23,6 @@
       : scope_(scope), limits_(limits), handler_(std::move(handler)) {}
 
   bool Listen(const std::string& address, std::string* error);
-  size_t connections() const { return connections_; }
 
  private:
   rt::Task<> AcceptLoop(Listener listener);
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -57,10 +57,6 @@
                      [&](const auto& p) { return Fresh(*p) && p->status.state_good; });
 }
 
-bool PeerMesh::AnyConnected() const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) { return Fresh(*p); });
-}
-
 rt::Task<std::optional<wire::HttpResponse>> PeerMesh::Relay(wire::HttpRequest request) {
   Peer* best = nullptr;
   for (auto& p : peers_) {
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -38,7 +38,6 @@
   bool AllConfirmOutage() const;
   // True if some other node says, just now, that the state service answers it.
   bool AnyReachesState() const;
-  bool AnyConnected() const;
 
  private:
   struct Pending {
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -64,10 +64,8 @@
       spdlog::info("state service answers again after {} failures", failures_);
     }
     failures_ = 0;
-    last_good_ = scope_.loop().Now();
   } else {
     if (++failures_ == 2) spdlog::warn("state service does not answer");
-    last_bad_ = scope_.loop().Now();
   }
 }
 
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -63,9 +63,6 @@
   rt::Task<Result<bool>> End(uint64_t permit);
   rt::Task<Result<wire::ChangeList>> Follow(std::string prefix, uint64_t revision, double block_s);
 
-  // Steady time of the last answer that was no refusal; the time of the last refusal or silence.
-  double last_good() const { return last_good_; }
-  double last_bad() const { return last_bad_; }
   // True while the newest calls went unanswered or refused.
   bool down() const { return failures_ >= 2; }
   // Executes a peer's request here, without relaying it any further.
@@ -82,8 +79,6 @@
   Budget requests_;
   Budget writes_;
   Relay relay_;
-  double last_good_ = -1;
-  double last_bad_ = -1;
   int failures_ = 0;
 };
 
--- a/src/store/replica.cc
+++ b/src/store/replica.cc
@@ -7,6 +7,8 @@
 namespace hallpier::store {
 namespace {
 constexpr double kRetryS = 0.25;
+// Between two answers of the watch, so that a busy minute comes in batches.
+constexpr double kGapS = 0.05;
 }  // namespace
 
 Replica::Replica(rt::Scope& scope, Client& client, double block_s, Sink sink)
@@ -63,7 +65,6 @@
       fresh = co_await Load();
       if (fresh) {
         loaded_ = true;
-        last_heard_ = scope_.loop().Now();
         spdlog::info("state loaded at revision {}: {} keys", revision_, stamps_.size());
         changed_.Notify();
       } else {
@@ -74,12 +75,11 @@
     }
     auto news = co_await client_.Follow(std::string(kActive), revision_, block_s_);
     if (news.ok()) {
-      last_heard_ = scope_.loop().Now();
       for (const auto& c : news.value.changes) Apply(c.key, c.value, c.stamp);
       revision_ = std::max(revision_, news.value.revision);
       std::erase_if(dropped_, [&](const auto& d) { return d.second <= revision_; });
       if (!news.value.changes.empty()) changed_.Notify();
-      rt::Sleep pause(scope_, gap_s_);
+      rt::Sleep pause(scope_, kGapS);
       co_await pause;
       continue;
     }
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -24,14 +24,9 @@
 
   // The routine that loads and follows, for as long as its scope lives.
   rt::Task<> Run();
-  // Waits between two answers of the watch: short for the leader, longer for the others.
-  void SetGap(double seconds) { gap_s_ = seconds; }
-
   bool loaded() const { return loaded_; }
   uint64_t revision() const { return revision_; }
   uint64_t Stamp(const std::string& key) const;
-  // Steady time of the watch's last answer.
-  double last_heard() const { return last_heard_; }
   rt::Event& changed() { return changed_; }
 
   void Apply(const std::string& key, const std::string& value, uint64_t stamp);
@@ -45,8 +40,6 @@
   Sink sink_;
   bool loaded_ = false;
   uint64_t revision_ = 0;
-  double last_heard_ = -1;
-  double gap_s_ = 0.05;
   std::unordered_map<std::string, uint64_t> stamps_;
   // Keys dropped ahead of the watch, until it has passed that revision.
   std::unordered_map<std::string, uint64_t> dropped_;
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -91,6 +91,15 @@
   void AddMachine(const std::string& name) {
     roster_.OnReport(ReportOf(name, 1, 1, 7), 100, false);
   }
+  // Tasks 0 to count - 1 of run-1 run on vm-1 and are reported.
+  void RunOnVm1(uint32_t count) {
+    wire::Report report = ReportOf("vm-1", 1, 1, 7);
+    for (uint32_t i = 0; i < count; ++i) {
+      Place(ledger_, "run-1", i, 1, "vm-1");
+      report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
+    }
+    roster_.OnReport(report, 100, false);
+  }
   RoundResult Plan() { return PlanRound(context_, ledger_, roster_, 100, 100); }
   size_t PlacedOf(const RoundResult& r, const std::string& job) {
     return static_cast<size_t>(std::count_if(r.places.begin(), r.places.end(),
@@ -182,12 +191,7 @@
   borrowed.urgency = wire::Urgency::kUrgent;
   borrowed.estimate_s = 500;
   PutJob(ledger_, borrowed, 1);
-  wire::Report report = ReportOf("vm-1", 1, 1, 7);
-  for (uint32_t i = 0; i < 4; ++i) {
-    Place(ledger_, "run-1", i, 1, "vm-1");
-    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
-  }
-  roster_.OnReport(report, 100, false);
+  RunOnVm1(4);
   auto owed = Spec("run-2", 1);
   owed.urgency = wire::Urgency::kBestEffort;
   PutJob(ledger_, owed, 90);
@@ -205,12 +209,7 @@
   low.urgency = wire::Urgency::kBestEffort;
   low.estimate_s = 20;
   PutJob(ledger_, low);
-  wire::Report report = ReportOf("vm-1", 1, 1, 7);
-  for (uint32_t i = 0; i < 4; ++i) {
-    Place(ledger_, "run-1", i, 1, "vm-1");
-    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
-  }
-  roster_.OnReport(report, 100, false);
+  RunOnVm1(4);
   auto high = Spec("run-2", 1);
   high.urgency = wire::Urgency::kUrgent;
   PutJob(ledger_, high, 2);
@@ -260,12 +259,7 @@
   saves.snapshot_every_s = 20;
   saves.snapshot_s = 4;
   PutJob(ledger_, saves);
-  wire::Report report = ReportOf("vm-1", 1, 1, 7);
-  for (uint32_t i = 0; i < 2; ++i) {
-    Place(ledger_, "run-1", i, 1, "vm-1");
-    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
-  }
-  roster_.OnReport(report, 100, false);
+  RunOnVm1(2);
   AddMachine("vm-2");  // room there is; the limit it is that keeps the task out
   auto high = Spec("run-2", 1, 1);
   high.urgency = wire::Urgency::kUrgent;
@@ -281,12 +275,7 @@
   spec.urgency = wire::Urgency::kUrgent;
   spec.estimate_s = 500;
   PutJob(ledger_, spec);
-  wire::Report report = ReportOf("vm-1", 1, 1, 7);
-  for (uint32_t i = 0; i < 4; ++i) {
-    Place(ledger_, "run-1", i, 1, "vm-1");
-    report.pieces.push_back(PieceOf("run-1", i, 1, wire::PieceState::kRunning));
-  }
-  roster_.OnReport(report, 100, false);
+  RunOnVm1(4);
   auto other = Spec("run-2", 1);
   other.urgency = wire::Urgency::kUrgent;
   PutJob(ledger_, other, 2);
