--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -16,6 +16,8 @@
 // That takes so many tasks, of jobs with so many ends; each moves the estimate by this part.
 constexpr uint32_t kSamples = 3;
 constexpr double kLearn = 0.4;
+// Machines remembered as gone, so that late lists and reports don't bring them back.
+constexpr size_t kGoneKept = 5000;
 // A job that failed on this many machines and was never done is itself to blame.
 constexpr size_t kBadJobMachines = 3;
 
@@ -108,6 +110,7 @@
 }
 
 void Roster::Learn(const jobs::Ledger& ledger, double now) {
+  std::erase_if(health_, [&](const auto& h) { return ledger.Find(h.first) == nullptr; });
   for (auto& [name, m] : machines_) {
     for (auto& [task, h] : m.held) {
       const jobs::Job* job = ledger.Find(task.job);
@@ -192,6 +195,8 @@
 void Roster::OnReturned(const std::string& machine) {
   machines_.erase(machine);
   gone_.insert(machine);
+  // Names grow with time: the oldest are the last that could still be heard of.
+  if (gone_.size() > kGoneKept) gone_.erase(gone_.begin());
 }
 
 void Roster::Return(Machine& m, const std::string& why) {
