--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -196,11 +196,7 @@
                    ? w.count
                    : static_cast<size_t>(std::max(0.0, std::floor(left / need + 1e-9)));
       };
-      const size_t waiting = w.count;
       w.count = std::min({w.count, fit(s.cpus_left, spec.cpus), fit(s.gpus_left, spec.gpus)});
-      if (w.count < waiting && spec.urgency <= wire::Urgency::kUrgent) {
-        FreeLimit(spec, waiting - w.count);
-      }
       s.cpus_left -= static_cast<double>(w.count) * spec.cpus;
       s.gpus_left -= static_cast<double>(w.count) * spec.gpus;
       result_.waiting += w.count;
@@ -247,35 +243,6 @@
     return boot;
   }
 
-  // Urgent tasks that only their team's limit keeps out: work of the same team that ranks lower and
-  // can save makes room under the limit. What can't save is left to end.
-  void FreeLimit(const wire::JobSpec& urgent, size_t tasks) {
-    double cpus = static_cast<double>(tasks) * urgent.cpus;
-    double gpus = static_cast<double>(tasks) * urgent.gpus;
-    for (size_t i = 0; i < machines_.size() && (cpus > 0 || gpus > 0); ++i) {
-      for (const auto& [task, attempt] : ledger_.On(machines_[i]->name)) {
-        const jobs::Job* job = ledger_.Find(task.job);
-        if (job == nullptr || job->spec.team != urgent.team) continue;
-        const wire::JobSpec& spec = job->spec;
-        if (spec.urgency <= urgent.urgency || spec.snapshot_every_s <= 0) continue;
-        const bool helps = (cpus > 0 && spec.cpus > 0) || (gpus > 0 && spec.gpus > 0);
-        if (!helps) continue;
-        auto held = machines_[i]->held.find(task);
-        const bool running = held != machines_[i]->held.end() && held->second.attempt == attempt &&
-                             held->second.state == wire::PieceState::kRunning;
-        const bool stopping = roster_.Stopping(task, attempt) || stopped_.contains(task);
-        if (!running && !stopping) continue;
-        cpus -= spec.cpus;
-        gpus -= spec.gpus;
-        if (!stopping) {
-          stopped_.insert(task);
-          result_.preemptions.push_back({task, attempt, spec.snapshot_s, urgent.id});
-        }
-        if (cpus <= 0 && gpus <= 0) return;
-      }
-    }
-  }
-
   void NotePrompt(const jobs::Job& job) {
     if (job.spec.urgency > wire::Urgency::kUrgent) return;
     for (const config::Objective& o : context_.settings->objectives) {
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -252,24 +252,6 @@
   EXPECT_EQ(grace, (std::map<std::string, double>{{"run-1", 4}, {"run-2", 0}}));
 }
 
-TEST_F(RoundTest, ATeamsSavingWorkMakesRoomUnderItsLimitForItsUrgentWork) {
-  settings_.teams = {{"team", 0, 4, 0, 0}};
-  auto saves = Spec("run-1", 2, 2);
-  saves.urgency = wire::Urgency::kBestEffort;
-  saves.snapshot_every_s = 20;
-  saves.snapshot_s = 4;
-  PutJob(ledger_, saves);
-  RunOnVm1(2);
-  AddMachine("vm-2");  // room there is; the limit it is that keeps the task out
-  auto high = Spec("run-2", 1, 1);
-  high.urgency = wire::Urgency::kUrgent;
-  PutJob(ledger_, high, 2);
-  auto r = Plan();
-  EXPECT_TRUE(r.places.empty());
-  ASSERT_EQ(r.preemptions.size(), 1u);
-  EXPECT_EQ(r.preemptions[0].grace_s, 4);
-}
-
 TEST_F(RoundTest, SameRankIsNeverStopped) {
   auto spec = Spec("run-1", 4);
   spec.urgency = wire::Urgency::kUrgent;
