Lists count from when they were asked for

A list held back for up to five seconds could be older than the allowance for the lag, so that a machine which it lacked would have been taken for gone.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -272,6 +272,7 @@
 }
 
 rt::Task<bool> Duties::ListMachines(rt::Scope& term) {
+  const double asked = term.loop().Now();
   std::vector<wire::Listed> all;
   std::string after;
   while (!term.cancelled()) {
@@ -290,7 +291,7 @@
     after = all.back().machine;
   }
   if (term.cancelled()) co_return false;
-  roster_.OnListed(all, term.loop().Now());
+  roster_.OnListed(all, asked, term.loop().Now());
   co_return true;
 }
 
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -139,7 +139,7 @@
   if (Machine* m = Find(machine)) m->last_answer = now;
 }
 
-void Roster::OnListed(const std::vector<wire::Listed>& list, double now) {
+void Roster::OnListed(const std::vector<wire::Listed>& list, double asked, double now) {
   std::set<std::string> seen;
   for (const wire::Listed& l : list) {
     if (gone_.contains(l.machine)) continue;  // lists lag
@@ -169,7 +169,8 @@
   for (auto& [name, m] : machines_) {
     // Lists may be older than the one before, but never by more than twice the lag: what was in a
     // list before that and is missing now is gone.
-    const bool settled = m.listed && now - m.first_listed > 3 * options_.list_lag_s + 1;
+    const bool settled =
+        m.listed && asked - m.first_listed > 2 * options_.list_lag_s + options_.report_s / 3;
     if (settled && !seen.contains(name)) vanished.push_back(name);
   }
   for (const auto& name : vanished) {
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -97,7 +97,8 @@
   // True if a machine takes so much longer than others that it is better replaced.
   static bool Slow(const Machine& m);
   void OnAnswered(const std::string& machine, double now);
-  void OnListed(const std::vector<wire::Listed>& machines, double now);
+  // `asked`: when the list was asked for; it came now.
+  void OnListed(const std::vector<wire::Listed>& machines, double asked, double now);
   void OnRented(const std::vector<std::string>& names, const wire::Rental& rental, double now);
   // The cloud has confirmed a return: the machine and all on it are gone.
   void OnReturned(const std::string& machine);
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -156,10 +156,12 @@
 TEST_F(RosterTest, AMachineGoneFromTheListIsGoneOnceTheListsHaveSettled) {
   Checkin(1, 1, kToken, 1, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
   wire::Listed l{"vm-1", "127.0.0.1:1", "c4", "a", false, wire::RentalState::kRunning, 5};
-  roster_.OnListed({l}, 2);
-  roster_.OnListed({}, 6);
+  roster_.OnListed({l}, 1, 2);
+  roster_.OnListed({}, 6, 6);
   EXPECT_FALSE(Freed(6)) << "a list may be older than the one before it";
-  roster_.OnListed({}, 13);
+  roster_.OnListed({}, 8, 13);
+  EXPECT_FALSE(Freed(13)) << "its age counts from when it was asked for";
+  roster_.OnListed({}, 13, 13);
   EXPECT_TRUE(Freed(13));
 }
 
