A restarted leader waits for whom its earlier process had followed

Found in review: a node that led, ended and led again trusted leases from that moment on, though the leader before it may still have answered workers within its bound.

--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -48,7 +48,6 @@
 
 void Leadership::OnRecord(const std::string& value) {
   record_ = value.empty() ? std::nullopt : store::ReadLeader(value);
-  if (record_ && record_->node != settings_.node) followed_self_ = false;
   if (leading() && (!record_ || record_->permit != permit_)) {
     spdlog::warn("leadership: the record is no longer ours");
     lost_ = true;
@@ -105,8 +104,9 @@
   const double now = scope_.loop().Now();
   const double blind = operators_.blind_ratio * settings_.lease_s;
   // The former leader's lease may have been ended for it a moment ago (Suspect), so that its length
-  // can't be counted on.
-  others_until_ = followed_self_ ? now : now + blind;
+  // can't be counted on. Nor does it help that the former leader was this node, before it was
+  // started anew: whom that one had followed may still be answering.
+  others_until_ = now + blind;
   permit_ = permit.value;
   token_ = r.value.revision;
   lost_ = false;
@@ -167,7 +167,6 @@
       // One process runs per node: nobody else acts under this record.
       const uint64_t permit = record_->permit;
       auto ended = co_await client_.End(permit);
-      followed_self_ = ended.ok();
       co_await AwaitRecordGone(permit, ended.ok());
       continue;
     }
@@ -178,13 +177,11 @@
       continue;
     }
     if (record_ || now < not_before_) {
-      followed_self_ = false;
       auto pause = wake_.Await(scope_, record_ ? ttl() : not_before_ - now);
       co_await pause;
       continue;
     }
     bool got = co_await Acquire();
-    followed_self_ = false;
     if (got) {
       co_await Hold();
     } else {
--- a/src/lead/leadership.h
+++ b/src/lead/leadership.h
@@ -67,7 +67,6 @@
   double last_renewed_ = -1;
   double others_until_ = 0;
   double not_before_ = 0;
-  bool followed_self_ = false;
   uint64_t suspected_permit_ = 0;
   std::function<bool()> outage_confirmed_;
   bool lost_ = false;
