One lookup each for types, objectives and answers; the plan names its machines

Found in a reading of the whole change. The check of a job's allowed types stood in three places, the lookup of a type in two, that of a lane's objective in two, and the test of a state answer in two. A round searched all machines for the one of each stopped task, which the plan had known.

--- a/src/api/user_api.cc
+++ b/src/api/user_api.cc
@@ -91,11 +91,9 @@
   const config::Team* team = d_.settings->FindTeam(spec.team);
   if (team == nullptr) return wire::BadField{"tenant", "unknown team"};
   const bool fits = std::any_of(d_.flavors->begin(), d_.flavors->end(), [&](const wire::Flavor& f) {
-    const bool listed = spec.flavors.empty() || std::find(spec.flavors.begin(), spec.flavors.end(),
-                                                          f.name) != spec.flavors.end();
     const bool there = spec.zone.empty() || f.zones.empty() ||
                        std::find(f.zones.begin(), f.zones.end(), spec.zone) != f.zones.end();
-    return listed && there && spec.cpus <= f.cpus && spec.gpus <= f.gpus &&
+    return spec.AllowsFlavor(f.name) && there && spec.cpus <= f.cpus && spec.gpus <= f.gpus &&
            spec.memory_gb <= f.memory_gb;
   });
   if (!fits) return wire::BadField{"flavors", "a task fits no allowed machine type"};
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -135,9 +135,7 @@
     roster_.Stop(p.task, p.attempt, p.grace_s);
     spdlog::debug("stop {} for {}", wire::TaskName(p.task),
                   p.for_job.empty() ? "its machine's notice" : p.for_job);
-    for (const auto& [name, m] : roster_.all()) {
-      if (d_.ledger->On(name).contains(p.task)) Tell(term, name);
-    }
+    Tell(term, p.machine);
   }
   for (const auto& m : plan.places) {
     spdlog::debug("place {} try {} on {}", wire::TaskName(m.task), m.attempt, m.machine);
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -106,6 +106,13 @@
   return nullptr;
 }
 
+const Objective* Settings::FindObjective(const std::string& kind, const std::string& lane) const {
+  for (const Objective& o : objectives) {
+    if (o.kind == kind && o.lane == lane) return &o;
+  }
+  return nullptr;
+}
+
 Settings ParseSettings(const std::string& text, std::vector<std::string>* faults) {
   Settings s;
   toml::table root;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -55,6 +55,8 @@
   int max_sockets = 0;
 
   const Team* FindTeam(const std::string& name) const;
+  // The first one of a kind for a lane.
+  const Objective* FindObjective(const std::string& kind, const std::string& lane) const;
 };
 
 // Operators' own settings: ratios to the platform's figures, every one of them optional.
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -41,9 +41,8 @@
     for (bool spot : {true, false}) {
       if (spot && !pool.want->spot) continue;
       for (const auto& choice : pool.want->choices) {
-        auto f = std::find_if(flavors.begin(), flavors.end(),
-                              [&](const wire::Flavor& o) { return o.name == choice.flavor; });
-        if (f == flavors.end()) continue;
+        const wire::Flavor* f = wire::FindFlavor(flavors, choice.flavor);
+        if (f == nullptr) continue;
         std::vector<Offer> offers;
         for (const auto& z : f->zones) {
           if (!pool.want->zone.empty() && z != pool.want->zone) continue;
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -25,10 +25,11 @@
 bool Allowed(const wire::JobSpec& s, const fleet::Machine& m) {
   if (m.spot && !s.spot) return false;
   if (!s.zone.empty() && s.zone != m.zone) return false;
-  return s.flavors.empty() ||
-         std::find(s.flavors.begin(), s.flavors.end(), m.flavor) != s.flavors.end();
+  return s.AllowsFlavor(m.flavor);
 }
 
+// Jobs that can't make their aim wait for others until their age is this many times the aim.
+constexpr double kHopelessAims = 3;
 // Parts of a tier.
 constexpr int kBands = 16;
 
@@ -98,7 +99,7 @@
         if (job == nullptr || roster_.Stopping(task, attempt)) continue;
         if (Remaining(*job, m, task, attempt) < left - kStopReports * report) continue;
         const bool saves = job->spec.snapshot_every_s > 0 && job->spec.snapshot_s < left;
-        result_.preemptions.push_back({task, attempt, saves ? job->spec.snapshot_s : 0, {}});
+        result_.preemptions.push_back({task, attempt, name, saves ? job->spec.snapshot_s : 0, {}});
       }
     }
   }
@@ -228,12 +229,9 @@
     const double unit = 10 * context_.settings->report_s;
     int band = std::clamp(static_cast<int>(std::log2(left / unit + 1) / 2), 0, kBands / 2 - 1);
     const double age = wall_now_ - job.submitted;
-    for (const config::Objective& o : context_.settings->objectives) {
-      if (o.kind != "finished" || o.lane != job.spec.lane) continue;
-      const bool late = age + run > o.within_s;
-      if (late && age < 3 * o.within_s) band += kBands / 2;
-      break;
-    }
+    const config::Objective* o = context_.settings->FindObjective("finished", job.spec.lane);
+    const bool late = o != nullptr && age + run > o->within_s;
+    if (late && age < kHopelessAims * o->within_s) band += kBands / 2;
     return band;
   }
 
@@ -358,10 +356,7 @@
     const Room need = NeedOf(spec);
     std::vector<std::pair<double, Want::Choice>> choices;
     for (const wire::Flavor& f : context_.flavors) {
-      const bool listed =
-          spec.flavors.empty() ||
-          std::find(spec.flavors.begin(), spec.flavors.end(), f.name) != spec.flavors.end();
-      if (!listed || !Room{f.cpus, f.gpus, f.memory_gb}.Fits(need)) continue;
+      if (!spec.AllowsFlavor(f.name) || !Room{f.cpus, f.gpus, f.memory_gb}.Fits(need)) continue;
       double fit = 1e6;
       if (need.cpus > 0) fit = std::min(fit, std::floor(f.cpus / need.cpus + 1e-9));
       if (need.gpus > 0) fit = std::min(fit, std::floor(f.gpus / need.gpus + 1e-9));
@@ -398,11 +393,9 @@
     const wire::JobSpec& spec = w.job->spec;
     const double report = context_.settings->report_s;
     if (spec.urgency > wire::Urgency::kUrgent) return BootTime();
-    for (const config::Objective& o : context_.settings->objectives) {
-      if (o.kind != "wait" || o.lane != spec.lane) continue;
-      return std::max(report, o.within_s - std::max(0.0, wall_now_ - w.job->submitted) - report);
-    }
-    return 2 * report;
+    const config::Objective* o = context_.settings->FindObjective("wait", spec.lane);
+    if (o == nullptr) return 2 * report;
+    return std::max(report, o->within_s - std::max(0.0, wall_now_ - w.job->submitted) - report);
   }
 
   // Stops work of lower rank where that lets tasks start clearly sooner than waiting would.
@@ -447,7 +440,7 @@
           if (room.Fits(tc.need)) break;
           room += need;
           cost += loss;
-          chosen.push_back({task, attempt, grace, w.job->spec.id});
+          chosen.push_back({task, attempt, m.name, grace, w.job->spec.id});
         }
         if (chosen.empty() || !room.Fits(tc.need) || cost >= best_cost) continue;
         best_cost = cost;
@@ -480,10 +473,7 @@
 }  // namespace
 
 const wire::Flavor* Context::FindFlavor(const std::string& name) const {
-  for (const wire::Flavor& f : flavors) {
-    if (f.name == name) return &f;
-  }
-  return nullptr;
+  return wire::FindFlavor(flavors, name);
 }
 
 double PredictRun(const jobs::Job& job, const std::string& flavor) {
--- a/src/plan/round.h
+++ b/src/plan/round.h
@@ -27,6 +27,7 @@
 struct Preemption {
   wire::TaskId task;
   uint64_t attempt = 0;
+  std::string machine;
   double grace_s = 0;
   std::string for_job;  // who gets the room; empty: the machine is about to be taken
 };
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -58,7 +58,8 @@
   writes_.SetRate(options_.write_rps * share, 1.0);
 }
 
-void Client::Note(bool good) {
+void Client::Note(const std::optional<wire::HttpResponse>& r) {
+  const bool good = r && r->status != 503 && r->status != 429;
   if (good) {
     if (failures_ >= 2) {
       spdlog::info("state service answers again after {} failures", failures_);
@@ -77,7 +78,7 @@
   const bool repeatable = request.method == "GET";
   auto r = co_await http_.Call(scope_, options_.endpoint, std::move(request), options_.timeout_s,
                                repeatable);
-  Note(r && r->status != 503 && r->status != 429);
+  Note(r);
   co_return r;
 }
 
@@ -108,7 +109,7 @@
   }
   std::optional<wire::HttpResponse> r =
       co_await http_.Call(scope_, options_.endpoint, request, timeout_s, repeatable);
-  Note(r && r->status != 503 && r->status != 429);
+  Note(r);
   if (relayable && down()) {
     std::optional<wire::HttpResponse> other = co_await relay_(std::move(request));
     if (other) co_return other;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -71,7 +71,8 @@
  private:
   rt::Task<std::optional<wire::HttpResponse>> Call(wire::HttpRequest request, double writes,
                                                    Urgent urgent, double timeout_s);
-  void Note(bool good);
+  // Counts an answer, or none, for down().
+  void Note(const std::optional<wire::HttpResponse>& r);
 
   rt::Scope& scope_;
   const Options options_;
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -159,6 +159,10 @@
 
 std::string_view CauseName(Cause cause) { return NameOf(kCauses, cause); }
 
+bool JobSpec::AllowsFlavor(std::string_view flavor) const {
+  return flavors.empty() || std::find(flavors.begin(), flavors.end(), flavor) != flavors.end();
+}
+
 bool IsJobId(std::string_view id) {
   constexpr std::string_view kPrefix = "run-";
   if (!id.starts_with(kPrefix) || id.size() < kPrefix.size() + 1 || id.size() > 64) return false;
@@ -340,6 +344,12 @@
   return w.Take();
 }
 
+const Flavor* FindFlavor(const std::vector<Flavor>& flavors, std::string_view name) {
+  auto it =
+      std::find_if(flavors.begin(), flavors.end(), [&](const Flavor& f) { return f.name == name; });
+  return it == flavors.end() ? nullptr : &*it;
+}
+
 std::optional<std::vector<Flavor>> ReadFlavors(const JsonValue& v) {
   const JsonValue* list = Find(v, "flavors");
   if (list == nullptr || !list->IsArray()) return std::nullopt;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -44,6 +44,8 @@
   double snapshot_every_s = 0;
   double snapshot_s = 0;
   double due_s = 0;  // 0: no deadline
+
+  bool AllowsFlavor(std::string_view flavor) const;
 };
 
 // "run-000412" and the like.
@@ -129,6 +131,7 @@
   double ready_s = 0;
   std::vector<std::string> zones;
 };
+const Flavor* FindFlavor(const std::vector<Flavor>& flavors, std::string_view name);
 std::optional<std::vector<Flavor>> ReadFlavors(const JsonValue& v);
 std::string WriteFlavors(const std::vector<Flavor>& flavors);
 
