--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace hallpier::app {
 namespace {
@@ -56,7 +57,7 @@
   if (!d_.leadership->leading() || term_ == nullptr) return;
   const jobs::Job* job = d_.ledger->Find(id);
   if (job != nullptr && job->cancelled) {
-    for (const auto& [number, shard] : job->shards) {
+    for (const auto& [number, shard] : job->shards()) {
       for (const auto& [index, task] : shard.open) {
         if (!task.machine.empty()) Tell(*term_, task.machine);
       }
@@ -113,17 +114,14 @@
     bool fenced = co_await d_.leadership->Fence();
     if (fenced) roster_.SetToken(d_.leadership->token());
   }
-  // What has ended first: it makes room.
-  auto outcomes = roster_.Collect(*d_.ledger, term.loop().Now());
+  const double begin = term.loop().Now();
+  roster_.Learn(*d_.ledger, begin);
+  std::vector<jobs::Mutation> mutations = roster_.Collect(*d_.ledger, begin);
   std::map<std::string, int> requeued;
-  for (const auto& m : outcomes) {
+  for (const auto& m : mutations) {
     if (m.kind == jobs::Mutation::Kind::kRequeue) ++requeued[m.machine + ": " + m.why];
   }
   for (const auto& [why, n] : requeued) spdlog::info("{} tasks back from {}", n, why);
-  bool written = co_await Commit(term, std::move(outcomes));
-  if (!written || term.cancelled()) co_return;
-  const double begin = term.loop().Now();
-  roster_.Learn(*d_.ledger, begin);
   plan::RoundResult plan = plan::PlanRound(context_, *d_.ledger, roster_, begin, d_.time_of_day());
   round_took_ = term.loop().Now() - begin;
   wants_ = std::move(plan.wants);
@@ -140,39 +138,47 @@
   for (const auto& m : plan.places) {
     spdlog::debug("place {} try {} on {}", wire::TaskName(m.task), m.attempt, m.machine);
   }
-  if (!plan.places.empty()) {
-    bool placed = co_await Commit(term, std::move(plan.places));
-    (void)placed;
-  }
+  // One write for all that a group of tasks has to say: the service takes few of them.
+  std::move(plan.places.begin(), plan.places.end(), std::back_inserter(mutations));
+  co_await Commit(term, std::move(mutations));
 }
 
-rt::Task<bool> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
+rt::Task<> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
   jobs::BatchLimits limits;
   limits.ops = d_.settings->txn_ops;
   limits.block_key = store::BlockKey(0);
   limits.token = d_.leadership->token();
+  limits.value_bytes = static_cast<size_t>(d_.settings->value_kb * 1024);
+  limits.patience_s = d_.settings->report_s;
   auto stamp = [this](const std::string& key) { return d_.replica->Stamp(key); };
   auto txns = jobs::BuildTxns(*d_.ledger, mutations, limits, stamp);
+  const double begin = term.loop().Now();
   for (jobs::Txn& t : txns) {
+    // What the budget has no room for now is decided anew, with what has come in meanwhile.
+    const double left = begin + d_.operators->round_s - term.loop().Now();
+    if (left <= 0) {
+      work_waits_ = true;
+      co_return;
+    }
     const auto writes = t.writes;
     // Taken now: the watch may bring the end before the answer does.
     std::vector<std::string> ends;
     for (const wire::Write& w : writes) DescribeEnd(w, &ends);
-    auto r = co_await d_.client->Txn(std::move(t.guards), std::move(t.writes),
-                                     t.urgent ? store::Urgent::kYes : store::Urgent::kNo);
-    if (term.cancelled()) co_return false;
+    const auto urgent = t.rank <= jobs::Rank::kEnd ? store::Urgent::kYes : store::Urgent::kNo;
+    auto r = co_await d_.client->Txn(std::move(t.guards), std::move(t.writes), urgent, left);
+    if (term.cancelled()) co_return;
     if (!r.ok()) {
       // Lost or late: the watch tells what became of it, and the next round starts from there.
       spdlog::info("commit of {} writes failed ({}{})", writes.size(), static_cast<int>(r.status),
                    r.value.failed.empty() ? "" : ", overtaken: " + r.value.failed.front());
-      co_return false;
+      work_waits_ = true;
+      co_return;
     }
     for (const auto& line : ends) spdlog::info("{}", line);
     for (const wire::Write& w : writes) d_.replica->Apply(w.key, w.value, r.value.revision);
     std::set<std::string> machines(t.machines.begin(), t.machines.end());
     for (const auto& m : machines) Tell(term, m);
   }
-  co_return true;
 }
 
 void Duties::DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const {
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -45,8 +45,8 @@
   bool CaughtUp() const;
   rt::Task<> RoundLoop(rt::Scope& term);
   rt::Task<> Round(rt::Scope& term);
-  // False if something did not get written: the records decide what comes next.
-  rt::Task<bool> Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations);
+  // What does not get written is decided anew: the records say what comes next.
+  rt::Task<> Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations);
   rt::Task<> CloudLoop(rt::Scope& term);
   rt::Task<bool> ListMachines(rt::Scope& term);
   rt::Task<> LearnFlavors(rt::Scope& term);
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -18,6 +18,8 @@
 constexpr double kLearn = 0.4;
 // Machines remembered as gone, so that late lists and reports don't bring them back.
 constexpr size_t kGoneKept = 5000;
+// Images that machines are remembered to have.
+constexpr size_t kImagesKept = 2000;
 // A job that failed on this many machines and was never done is itself to blame.
 constexpr size_t kBadJobMachines = 3;
 
@@ -116,7 +118,7 @@
       const jobs::Job* job = ledger.Find(task.job);
       if (job == nullptr) continue;
       const bool running = h.state == wire::PieceState::kRunning;
-      if (running) m.images.insert(job->spec.image);
+      if (running) NoteImage(m, job->spec.image);
       const auto mean = job->MeanRun();
       if (h.learned || !mean || *mean <= 0 || job->done() < kSamples) continue;
       double ran = 0;
@@ -220,9 +222,26 @@
   return it != stops_.end() && it->second.attempt == attempt;
 }
 
-bool Roster::Failed(const Machine& m, const std::string& job) const {
+const std::set<std::string>* Roster::FailedOn(const std::string& job) const {
   auto it = health_.find(job);
-  return it != health_.end() && it->second.failed_on.contains(m.name);
+  return it == health_.end() || it->second.failed_on.empty() ? nullptr : &it->second.failed_on;
+}
+
+std::optional<size_t> Roster::ImageId(const std::string& image) const {
+  auto it = images_.find(image);
+  if (it == images_.end()) return std::nullopt;
+  return it->second;
+}
+
+void Roster::NoteImage(Machine& m, const std::string& image) {
+  if (images_.size() >= kImagesKept && !images_.contains(image)) {
+    // Better to know nothing for a while than to keep every image there ever was.
+    images_.clear();
+    for (auto& [name, other] : machines_) other.images.clear();
+  }
+  const size_t id = images_.try_emplace(image, images_.size()).first->second;
+  if (m.images.size() <= id) m.images.resize(id + 1);
+  m.images[id] = true;
 }
 
 void Roster::NoteExit(Machine& m, const wire::TaskId& task, wire::Cause cause) {
@@ -392,6 +411,7 @@
             auto* mu = mutation(Kind::kDone);
             mu->run_s = h.run_s;
             mu->flavor = m->flavor;
+            mu->age_s = now - h.since;
           } else {
             mutation(Kind::kRequeue)->why = wire::CauseName(h.cause);
           }
@@ -411,8 +431,8 @@
   std::erase_if(stops_, [&](const auto& s) {
     const jobs::Job* job = ledger.Find(s.first.job);
     if (job == nullptr) return true;
-    auto shard = job->shards.find(ledger.ShardOf(s.first.index));
-    if (shard == job->shards.end()) return true;
+    auto shard = job->shards().find(ledger.ShardOf(s.first.index));
+    if (shard == job->shards().end()) return true;
     auto open = shard->second.open.find(s.first.index);
     return open == shard->second.open.end() || open->second.machine.empty() ||
            open->second.attempt != s.second.attempt;
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "jobs/ledger.h"
@@ -61,7 +62,7 @@
   bool booting = true;
   double up_seen = 0;  // when it was first listed as running
 
-  std::set<std::string> images;  // jobs' images that were seen to be there, as far as we know
+  std::vector<bool> images;  // by Roster::ImageId: seen to be there, as far as we know
 
   bool returning = false;  // to be returned, or asked to be: never used again
   std::string why_returning;
@@ -120,8 +121,10 @@
   void Stop(const wire::TaskId& task, uint64_t attempt, double grace_s);
   bool Stopping(const wire::TaskId& task, uint64_t attempt) const;
   void Return(Machine& m, const std::string& why);
-  // True if a task of the job failed on the machine.
-  bool Failed(const Machine& m, const std::string& job) const;
+  // Machines on which a task of the job failed; null: none.
+  const std::set<std::string>* FailedOn(const std::string& job) const;
+  // The number under which machines note an image; nothing if none has been seen with it.
+  std::optional<size_t> ImageId(const std::string& image) const;
 
   // True if a machine may get new tasks now.
   bool Usable(const Machine& m, double now) const;
@@ -138,6 +141,7 @@
   bool Unwanted(const Machine& m, const wire::TaskId& task, uint64_t attempt,
                 const jobs::Ledger& ledger) const;
   void NoteExit(Machine& m, const wire::TaskId& task, wire::Cause cause);
+  void NoteImage(Machine& m, const std::string& image);
   void TakePieces(Machine& m, const wire::Report& r, double now);
 
   const Options options_;
@@ -156,6 +160,7 @@
     std::set<std::string> done_on;
   };
   std::map<std::string, JobHealth> health_;
+  std::unordered_map<std::string, size_t> images_;
 };
 
 }  // namespace hallpier::fleet
--- a/src/jobs/batch.cc
+++ b/src/jobs/batch.cc
@@ -14,15 +14,16 @@
 struct Changed {
   const Job* job = nullptr;
   std::map<uint32_t, store::Shard> shards;
-  std::map<uint32_t, std::vector<std::string>> machines;  // by shard: new placements
-  bool urgent = false;
+  // By shard: task and machine of new placements.
+  std::map<uint32_t, std::vector<std::pair<uint32_t, std::string>>> places;
+  std::map<uint32_t, Rank> ranks;
 };
 
 struct Unit {
   std::vector<wire::Guard> guards;
   std::vector<wire::Write> writes;
   std::vector<std::string> machines;
-  bool urgent = false;
+  Rank rank = Rank::kOutcome;
 };
 
 size_t Bytes(const std::vector<wire::Write>& writes) {
@@ -35,13 +36,25 @@
 template <class F>
 uint32_t Sum(const Job& job, const Changed& changed, F count) {
   uint32_t n = 0;
-  for (const auto& [number, shard] : job.shards) {
+  for (const auto& [number, shard] : job.shards()) {
     if (!changed.shards.contains(number)) n += count(shard);
   }
   for (const auto& [number, shard] : changed.shards) n += count(shard);
   return n;
 }
 
+Rank RankOf(const Job& job, const Mutation& m, const BatchLimits& limits) {
+  switch (m.kind) {
+    case Mutation::Kind::kPlace:
+      return job.spec.urgency <= wire::Urgency::kUrgent ? Rank::kUrgentStart : Rank::kStart;
+    case Mutation::Kind::kRequeue:
+      return job.cancelled ? Rank::kEnd : Rank::kStart;
+    case Mutation::Kind::kDone:
+      return m.age_s >= limits.patience_s ? Rank::kStart : Rank::kOutcome;
+  }
+  return Rank::kOutcome;
+}
+
 class Builder {
  public:
   Builder(const Ledger& ledger, const BatchLimits& limits, const StampOf& stamp)
@@ -54,7 +67,7 @@
     const bool over = !job.cancelled && done == job.spec.tasks;
     const bool ended = over || (job.cancelled && placed == 0);
     std::set<uint32_t> numbers;
-    for (const auto& [number, shard] : job.shards) numbers.insert(number);
+    for (const auto& [number, shard] : job.shards()) numbers.insert(number);
     const size_t room = static_cast<size_t>(limits_.ops) - 2;
     const bool one_txn = changed.shards.size() <= room;
     if (ended && one_txn) {
@@ -64,11 +77,16 @@
     for (const auto& [number, shard] : changed.shards) {
       Unit u;
       const std::string key = store::ShardKey(id, number);
+      std::vector<std::pair<uint32_t, std::string>> places;
+      if (auto it = changed.places.find(number); it != changed.places.end()) places = it->second;
+      std::string value = store::WriteShard(shard);
+      if (limits_.value_bytes > 0 && value.size() > limits_.value_bytes && !places.empty()) {
+        value = Trim(job, number, shard, &places);
+      }
       u.guards = {{store::JobKey(id), stamp_(store::JobKey(id))}, {key, stamp_(key)}};
-      u.writes = {{key, store::WriteShard(shard), 0}};
-      auto it = changed.machines.find(number);
-      if (it != changed.machines.end()) u.machines = it->second;
-      u.urgent = changed.urgent;
+      u.writes = {{key, std::move(value), 0}};
+      for (auto& [index, machine] : places) u.machines.push_back(std::move(machine));
+      u.rank = changed.ranks.at(number);
       units_.push_back(std::move(u));
     }
   }
@@ -82,7 +100,7 @@
 
   std::vector<Txn> Pack() {
     std::stable_sort(units_.begin(), units_.end(),
-                     [](const Unit& a, const Unit& b) { return a.urgent > b.urgent; });
+                     [](const Unit& a, const Unit& b) { return a.rank < b.rank; });
     std::vector<Txn> out;
     size_t bytes = 0;
     for (Unit& u : units_) {
@@ -93,6 +111,7 @@
           bytes + more > kMaxTxnBytes) {
         out.emplace_back();
         out.back().guards.push_back({limits_.block_key, limits_.token});
+        out.back().rank = u.rank;
         bytes = 0;
       }
       Txn& t = out.back();
@@ -104,17 +123,37 @@
       }
       for (auto& w : u.writes) t.writes.push_back(std::move(w));
       for (auto& m : u.machines) t.machines.push_back(std::move(m));
-      t.urgent = t.urgent || u.urgent;
     }
     return out;
   }
 
  private:
+  // Takes back placements until the value is no longer too large; they wait for others to end.
+  std::string Trim(const Job& job, uint32_t number, store::Shard shard,
+                   std::vector<std::pair<uint32_t, std::string>>* places) const {
+    auto before = job.shards().find(number);
+    std::string value;
+    do {
+      const size_t keep = places->size() / 2;
+      for (size_t i = keep; i < places->size(); ++i) {
+        const uint32_t index = (*places)[i].first;
+        shard.open.erase(index);
+        if (before == job.shards().end()) continue;
+        if (auto old = before->second.open.find(index); old != before->second.open.end()) {
+          shard.open.insert(*old);
+        }
+      }
+      places->resize(keep);
+      value = store::WriteShard(shard);
+    } while (value.size() > limits_.value_bytes && !places->empty());
+    return value;
+  }
+
   void AddFinal(const std::string& id, const Changed& changed, wire::Phase phase, uint64_t done,
                 size_t room) {
     const Job& job = *changed.job;
     Unit u;
-    u.urgent = true;
+    u.rank = Rank::kEnd;
     const std::string job_key = store::JobKey(id);
     u.guards.push_back({job_key, stamp_(job_key)});
     u.writes.push_back({store::FinalKey(id), store::WriteFinal({phase, done}), 0});
@@ -122,9 +161,9 @@
     // The changed shards must go with it; what has no room is dropped later, as an orphan.
     std::vector<uint32_t> drop;
     for (const auto& [number, shard] : changed.shards) {
-      if (job.shards.contains(number)) drop.push_back(number);
+      if (job.shards().contains(number)) drop.push_back(number);
     }
-    for (const auto& [number, shard] : job.shards) {
+    for (const auto& [number, shard] : job.shards()) {
       if (!changed.shards.contains(number) && drop.size() < room) drop.push_back(number);
     }
     for (uint32_t number : drop) {
@@ -157,20 +196,20 @@
       order.push_back(m.task.job);
     }
     const uint32_t number = ledger.ShardOf(m.task.index);
-    auto shard = c.shards.find(number);
-    store::Shard copy;
-    if (shard != c.shards.end()) {
-      copy = shard->second;
-    } else if (auto old = job->shards.find(number); old != job->shards.end()) {
-      copy = old->second;
+    auto [shard, untouched] = c.shards.try_emplace(number);
+    if (untouched) {
+      if (auto old = job->shards().find(number); old != job->shards().end()) {
+        shard->second = old->second;
+      }
     }
-    if (!ledger.Change(*job, m, &copy)) continue;
-    c.shards[number] = std::move(copy);
-    if (m.kind == Mutation::Kind::kPlace) {
-      c.machines[number].push_back(m.machine);
-    } else {
-      c.urgent = true;
+    if (!ledger.Change(*job, m, &shard->second)) {
+      if (untouched) c.shards.erase(shard);
+      continue;
     }
+    if (m.kind == Mutation::Kind::kPlace) c.places[number].emplace_back(m.task.index, m.machine);
+    const Rank rank = RankOf(*job, m, limits);
+    auto [known, first] = c.ranks.try_emplace(number, rank);
+    if (!first) known->second = std::min(known->second, rank);
   }
   // Jobs that are over without a change of this round: cancelled before anything was placed, or
   // with more shards than one transaction could take at once.
--- a/src/jobs/batch.h
+++ b/src/jobs/batch.h
@@ -9,23 +9,35 @@
 
 namespace hallpier::jobs {
 
+// What is written first when there is more than the budget allows. What is left over is decided
+// anew by the next round.
+enum class Rank {
+  kUrgentStart,  // starts of prod and urgent work
+  kEnd,          // a job becomes final, or loses what still ran after its cancellation
+  kStart,        // other starts; tasks that wait again; ends that have waited long
+  kOutcome,      // ends of single tasks: their machines keep them meanwhile
+};
+
 struct Txn {
   std::vector<wire::Guard> guards;
   std::vector<wire::Write> writes;
-  bool urgent = false;                // holds completions or releases
+  Rank rank = Rank::kOutcome;         // of the first it holds
   std::vector<std::string> machines;  // that got a new placement in it
 };
 
 struct BatchLimits {
   int ops = 0;  // writes in a transaction
   std::string block_key;
-  uint64_t token = 0;  // the block record's stamp: who holds another one loses
+  uint64_t token = 0;      // the block record's stamp: who holds another one loses
+  size_t value_bytes = 0;  // of the largest value; 0: any
+  double patience_s = 0;   // ends of tasks wait no longer than this behind starts
 };
 
 using StampOf = std::function<uint64_t(const std::string& key)>;
 
 // Mutations that the records no longer allow are left out. Jobs whose last task is done, or that
-// are cancelled with nothing placed any more, become final in the same transaction.
+// are cancelled with nothing placed any more, become final in the same transaction. All that a
+// round has for one group of tasks goes into one write.
 std::vector<Txn> BuildTxns(const Ledger& ledger, const std::vector<Mutation>& mutations,
                            const BatchLimits& limits, const StampOf& stamp);
 
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -2,18 +2,40 @@
 
 #include <spdlog/spdlog.h>
 
+#include <utility>
+
 namespace hallpier::jobs {
 
-uint32_t Job::done() const {
-  uint32_t n = 0;
-  for (const auto& [number, shard] : shards) n += shard.done.size();
-  return n;
+void Job::Count(const store::Shard& shard, bool add) {
+  // Unsigned sums wrap and come back: what is taken off was added before.
+  const uint32_t done = shard.done.size(), placed = shard.placed();
+  done_ += add ? done : -done;
+  placed_ += add ? placed : -placed;
+  for (const auto& [flavor, stats] : shard.runs) {
+    for (store::RunStats* sum : {&runs_[flavor], &all_runs_}) {
+      sum->count += add ? stats.count : -stats.count;
+      sum->sum_s += add ? stats.sum_s : -stats.sum_s;
+    }
+  }
+}
+
+void Job::SetShard(uint32_t number, std::optional<store::Shard> shard) {
+  if (auto old = shards_.find(number); old != shards_.end()) {
+    Count(old->second, false);
+    shards_.erase(old);
+  }
+  if (!shard) return;
+  Count(*shard, true);
+  shards_[number] = std::move(*shard);
+}
+
+void Job::SetShards(std::map<uint32_t, store::Shard> shards) {
+  for (auto& [number, shard] : shards) SetShard(number, std::move(shard));
 }
 
-uint32_t Job::placed() const {
-  uint32_t n = 0;
-  for (const auto& [number, shard] : shards) n += shard.placed();
-  return n;
+std::map<uint32_t, store::Shard> Job::TakeShards() {
+  for (const auto& [number, shard] : shards_) Count(shard, false);
+  return std::exchange(shards_, {});
 }
 
 wire::JobStatus Job::Status() const {
@@ -28,27 +50,14 @@
 }
 
 std::optional<double> Job::MeanRun(const std::string& flavor) const {
-  store::RunStats sum;
-  for (const auto& [number, shard] : shards) {
-    auto it = shard.runs.find(flavor);
-    if (it == shard.runs.end()) continue;
-    sum.count += it->second.count;
-    sum.sum_s += it->second.sum_s;
-  }
-  if (sum.count == 0) return std::nullopt;
-  return sum.sum_s / static_cast<double>(sum.count);
+  auto it = runs_.find(flavor);
+  if (it == runs_.end() || it->second.count == 0) return std::nullopt;
+  return it->second.sum_s / static_cast<double>(it->second.count);
 }
 
 std::optional<double> Job::MeanRun() const {
-  store::RunStats sum;
-  for (const auto& [number, shard] : shards) {
-    for (const auto& [flavor, stats] : shard.runs) {
-      sum.count += stats.count;
-      sum.sum_s += stats.sum_s;
-    }
-  }
-  if (sum.count == 0) return std::nullopt;
-  return sum.sum_s / static_cast<double>(sum.count);
+  if (all_runs_.count == 0) return std::nullopt;
+  return all_runs_.sum_s / static_cast<double>(all_runs_.count);
 }
 
 const Job* Ledger::Find(const std::string& id) const {
@@ -81,7 +90,8 @@
     if (value.empty()) {
       auto it = jobs_.find(key.job);
       if (it == jobs_.end()) return;
-      if (!it->second.shards.empty()) orphans_[key.job] = std::move(it->second.shards);
+      auto left = it->second.TakeShards();
+      if (!left.empty()) orphans_[key.job] = std::move(left);
       jobs_.erase(it);
       return;
     }
@@ -95,14 +105,12 @@
     job.submitted = record->submitted;
     job.cancelled = record->cancelled;
     if (auto it = orphans_.find(key.job); it != orphans_.end()) {
-      job.shards = std::move(it->second);
+      job.SetShards(std::move(it->second));
       orphans_.erase(it);
     }
     return;
   }
   if (key.kind != store::KeyKind::kShard) return;
-  auto job = jobs_.find(key.job);
-  auto& shards = job != jobs_.end() ? job->second.shards : orphans_[key.job];
   std::optional<store::Shard> shard;
   if (!value.empty()) {
     shard = store::ReadShard(value);
@@ -112,25 +120,38 @@
       return;
     }
   }
-  if (auto old = shards.find(key.shard); old != shards.end()) {
-    Index(key.job, old->second, false);
-    shards.erase(old);
+  auto job = jobs_.find(key.job);
+  auto lost = orphans_.find(key.job);
+  const std::map<uint32_t, store::Shard>* shards = nullptr;
+  if (job != jobs_.end()) {
+    shards = &job->second.shards();
+  } else if (lost != orphans_.end()) {
+    shards = &lost->second;
+  }
+  if (shards != nullptr) {
+    if (auto old = shards->find(key.shard); old != shards->end()) {
+      Index(key.job, old->second, false);
+    }
   }
-  if (shard) {
-    Index(key.job, *shard, true);
-    shards[key.shard] = std::move(*shard);
+  if (shard) Index(key.job, *shard, true);
+  if (job != jobs_.end()) {
+    job->second.SetShard(key.shard, std::move(shard));
+  } else if (shard) {
+    orphans_[key.job][key.shard] = std::move(*shard);
+  } else if (lost != orphans_.end()) {
+    lost->second.erase(key.shard);
+    if (lost->second.empty()) orphans_.erase(lost);
   }
-  if (job == jobs_.end() && shards.empty()) orphans_.erase(key.job);
 }
 
 std::vector<uint32_t> Ledger::Waiting(const Job& job, size_t limit) const {
   std::vector<uint32_t> out;
   const uint32_t count = Shards(job);
   for (uint32_t s = 0; s < count && out.size() < limit; ++s) {
-    auto it = job.shards.find(s);
+    auto it = job.shards().find(s);
     const uint32_t end = std::min(job.spec.tasks, (s + 1) * tasks_per_shard_);
     for (uint32_t i = s * tasks_per_shard_; i < end && out.size() < limit; ++i) {
-      if (it != job.shards.end()) {
+      if (it != job.shards().end()) {
         if (it->second.done.Contains(i)) continue;
         auto open = it->second.open.find(i);
         if (open != it->second.open.end() && !open->second.machine.empty()) continue;
@@ -142,8 +163,8 @@
 }
 
 uint64_t Ledger::NextAttempt(const Job& job, uint32_t index) const {
-  auto it = job.shards.find(ShardOf(index));
-  if (it == job.shards.end()) return 1;
+  auto it = job.shards().find(ShardOf(index));
+  if (it == job.shards().end()) return 1;
   auto open = it->second.open.find(index);
   return open == it->second.open.end() ? 1 : open->second.attempt + 1;
 }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -17,16 +17,31 @@
   wire::JobSpec spec;
   double submitted = 0;
   bool cancelled = false;
-  std::map<uint32_t, store::Shard> shards;
 
-  uint32_t done() const;
-  uint32_t placed() const;
+  const std::map<uint32_t, store::Shard>& shards() const { return shards_; }
+  void SetShards(std::map<uint32_t, store::Shard> shards);
+  // Nothing: the group is dropped.
+  void SetShard(uint32_t number, std::optional<store::Shard> shard);
+  std::map<uint32_t, store::Shard> TakeShards();
+
+  uint32_t done() const { return done_; }
+  uint32_t placed() const { return placed_; }
   // Tasks that are neither done nor placed.
-  uint32_t waiting() const { return spec.tasks - done() - placed(); }
+  uint32_t waiting() const { return spec.tasks - done_ - placed_; }
   wire::JobStatus Status() const;
   // Mean run time on a machine type; nothing before the first finish there.
   std::optional<double> MeanRun(const std::string& flavor) const;
   std::optional<double> MeanRun() const;  // over all types
+
+ private:
+  void Count(const store::Shard& shard, bool add);
+
+  std::map<uint32_t, store::Shard> shards_;
+  // Sums over the groups, kept as they change: every round asks for them many times over.
+  uint32_t done_ = 0;
+  uint32_t placed_ = 0;
+  std::map<std::string, store::RunStats> runs_;
+  store::RunStats all_runs_;
 };
 
 // What a round wants written about one task.
@@ -38,6 +53,7 @@
   std::string machine;
   double run_s = 0;    // kDone: 0 if unknown
   std::string flavor;  // kDone
+  double age_s = 0;    // kDone: how long it has been known
   std::string why;     // kRequeue: for the log
 };
 
--- a/src/plan/duplex.cc
+++ b/src/plan/duplex.cc
@@ -1,7 +1,8 @@
 #include "plan/duplex.h"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
+#include <functional>
 
 namespace hallpier::plan {
 namespace {
@@ -61,94 +62,149 @@
   }
 }
 
-Map MapTier(Order order, const std::vector<TaskClass>& classes, std::vector<Slots>& machines,
-            size_t limit) {
-  struct State {
-    size_t left;
-    int fixed_zone;
-    std::vector<size_t> zone_room;
-    std::vector<double> start;  // per machine; negative: none
-    size_t best = 0;
-    double completion = 0;  // on the best; infinite: nowhere
-    double room = 0;        // free processors of the best
-  };
-  constexpr double kNever = std::numeric_limits<double>::infinity();
-  std::vector<State> states;
-  auto evaluate = [&](size_t c, size_t m) {
-    const TaskClass& tc = classes[c];
-    State& s = states[c];
-    s.start[m] = tc.run_s[m] < 0 ? -1 : machines[m].timeline.Earliest(tc.need, tc.run_s[m]);
-  };
-  auto pick = [&](size_t c) {
-    const TaskClass& tc = classes[c];
-    State& s = states[c];
-    s.completion = kNever;
-    s.room = kNever;
+namespace {
+
+// What a class would get on a machine when it was last looked at. Reservations only ever take room,
+// so a candidate can become worse but never better: the best one is found by looking again at the
+// top of a heap, not at every machine.
+struct Candidate {
+  double completion;
+  double start;
+  double room;  // free processors, where the class packs
+  size_t machine;
+
+  // Of equal completions the fullest machine, then the first one. Completions are compared in whole
+  // milliseconds: that is an order, as a comparison with a tolerance would not be.
+  friend bool operator>(const Candidate& a, const Candidate& b) {
+    const auto x = std::llround(a.completion * 1e3), y = std::llround(b.completion * 1e3);
+    if (x != y) return x > y;
+    if (a.room != b.room) return a.room > b.room;
+    return a.machine > b.machine;
+  }
+};
+
+class ClassState {
+ public:
+  ClassState(const TaskClass& tc, const std::vector<Slots>& machines)
+      : tc_(tc),
+        machines_(machines),
+        left_(tc.count),
+        fixed_zone_(tc.fixed_zone),
+        zone_room_(tc.zone_room) {
     for (size_t m = 0; m < machines.size(); ++m) {
-      if (s.start[m] < 0) continue;
-      const size_t zone = machines[m].zone;
-      if (tc.one_zone && s.fixed_zone >= 0 && static_cast<size_t>(s.fixed_zone) != zone) continue;
-      if (!s.zone_room.empty() && s.zone_room[zone] == 0) continue;
-      const double completion = s.start[m] + tc.run_s[m];
-      const double room = tc.pack ? machines[m].timeline.now().cpus : 0;
-      if (completion < s.completion - kEpsilon ||
-          (completion < s.completion + kEpsilon && room < s.room - kEpsilon)) {
-        s.completion = completion;
-        s.room = room;
-        s.best = m;
+      Candidate c;
+      if (Evaluate(m, &c)) heap_.push_back(c);
+    }
+    std::make_heap(heap_.begin(), heap_.end(), std::greater<>());
+    Refresh();
+  }
+
+  // Nothing if no task is left, or none fits anywhere.
+  const Candidate* best() const { return left_ == 0 || heap_.empty() ? nullptr : &heap_.front(); }
+
+  void Take() {
+    --left_;
+    const size_t zone = machines_[heap_.front().machine].zone;
+    if (tc_.one_zone) fixed_zone_ = static_cast<int>(zone);
+    if (!zone_room_.empty()) --zone_room_[zone];
+  }
+
+  // Looks at the top again until it is what it says.
+  void Refresh() {
+    while (left_ > 0 && !heap_.empty()) {
+      const Candidate top = heap_.front();
+      Candidate now;
+      const bool there = ZoneAllowed(machines_[top.machine].zone) && Evaluate(top.machine, &now);
+      if (there && now.start == top.start && now.room == top.room) return;
+      std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
+      if (!there) {
+        heap_.pop_back();
+        continue;
       }
+      heap_.back() = now;
+      std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
     }
-  };
-  for (size_t c = 0; c < classes.size(); ++c) {
-    states.push_back({classes[c].count, classes[c].fixed_zone, classes[c].zone_room,
-                      std::vector<double>(machines.size(), -1)});
-    for (size_t m = 0; m < machines.size(); ++m) evaluate(c, m);
-    pick(c);
   }
+
+ private:
+  bool Evaluate(size_t m, Candidate* out) const {
+    const double run = tc_.run_s[m];
+    if (run < 0) return false;
+    const double start = machines_[m].timeline.Earliest(tc_.need, run);
+    if (start < 0) return false;
+    *out = {start + run, start, tc_.pack ? machines_[m].timeline.now().cpus : 0, m};
+    return true;
+  }
+  bool ZoneAllowed(size_t zone) const {
+    if (tc_.one_zone && fixed_zone_ >= 0 && static_cast<size_t>(fixed_zone_) != zone) return false;
+    return zone_room_.empty() || zone_room_[zone] > 0;
+  }
+
+  const TaskClass& tc_;
+  const std::vector<Slots>& machines_;
+  size_t left_;
+  int fixed_zone_;
+  std::vector<size_t> zone_room_;
+  std::vector<Candidate> heap_;
+};
+
+}  // namespace
+
+Map MapTier(Order order, const std::vector<TaskClass>& classes, std::vector<Slots>& machines,
+            size_t limit, std::vector<Touched>* touched) {
+  std::vector<ClassState> states;
+  states.reserve(classes.size());
+  for (const TaskClass& tc : classes) states.emplace_back(tc, machines);
+  std::vector<bool> noted(touched == nullptr ? 0 : machines.size(), false);
   Map map;
   while (map.assignments.size() < limit) {
-    size_t chosen = classes.size();
-    for (size_t c = 0; c < classes.size(); ++c) {
-      if (states[c].left == 0 || states[c].completion == kNever) continue;
-      if (chosen == classes.size()) {
+    const Candidate* best = nullptr;
+    size_t chosen = 0;
+    for (size_t c = 0; c < states.size(); ++c) {
+      const Candidate* b = states[c].best();
+      if (b == nullptr) continue;
+      if (best == nullptr || (order == Order::kMinMin ? b->completion < best->completion
+                                                      : b->completion > best->completion)) {
+        best = b;
         chosen = c;
-        continue;
       }
-      const double a = states[c].completion, b = states[chosen].completion;
-      if (order == Order::kMinMin ? a < b : a > b) chosen = c;
     }
-    if (chosen == classes.size()) break;
+    if (best == nullptr) break;
     const TaskClass& tc = classes[chosen];
-    State& s = states[chosen];
-    const size_t m = s.best;
-    const double start = s.start[m];
+    const size_t m = best->machine;
+    const double start = best->start;
+    if (touched != nullptr && !noted[m]) {
+      noted[m] = true;
+      touched->push_back({m, machines[m].timeline});
+    }
     machines[m].timeline.Reserve(start, tc.run_s[m], tc.need);
     map.assignments.push_back({chosen, m, start, tc.run_s[m]});
     map.cost += tc.run_s[m] + start;
-    --s.left;
-    if (tc.one_zone) s.fixed_zone = static_cast<int>(machines[m].zone);
-    if (!s.zone_room.empty()) --s.zone_room[machines[m].zone];
-    for (size_t c = 0; c < classes.size(); ++c) {
-      if (states[c].left == 0 || states[c].start[m] < 0) continue;
-      evaluate(c, m);
-      // Only who wanted this machine, or has new bounds on its zones, must look around again.
-      if (c == chosen || states[c].best == m) pick(c);
+    states[chosen].Take();
+    // Only who wanted this machine, or has new bounds on its zones, must look around again.
+    for (size_t c = 0; c < states.size(); ++c) {
+      const Candidate* b = states[c].best();
+      if (b != nullptr && (c == chosen || b->machine == m)) states[c].Refresh();
     }
   }
   return map;
 }
 
 Map Duplex(const std::vector<TaskClass>& classes, std::vector<Slots>& machines, size_t limit) {
-  std::vector<Slots> other = machines;
-  Map min_min = MapTier(Order::kMinMin, classes, machines, limit);
-  Map min_max = MapTier(Order::kMinMax, classes, other, limit);
+  // Tasks that are all alike leave nothing to order.
+  if (classes.size() == 1) return MapTier(Order::kMinMin, classes, machines, limit);
+  std::vector<Touched> undo;
+  Map min_min = MapTier(Order::kMinMin, classes, machines, limit, &undo);
+  // From here on `undo` holds how min-min leaves the machines.
+  for (Touched& t : undo) std::swap(machines[t.machine].timeline, t.before);
+  std::vector<Touched> undo_max;
+  Map min_max = MapTier(Order::kMinMax, classes, machines, limit, &undo_max);
   // A map that serves more tasks is better however much they add to the sum.
   const bool more = min_max.assignments.size() > min_min.assignments.size();
   const bool same = min_max.assignments.size() == min_min.assignments.size();
-  if (more || (same && min_max.cost < min_min.cost)) {
-    machines = std::move(other);
-    return min_max;
-  }
+  if (more || (same && min_max.cost < min_min.cost)) return min_max;
+  for (Touched& t : undo_max) machines[t.machine].timeline = std::move(t.before);
+  for (Touched& t : undo) machines[t.machine].timeline = std::move(t.before);
   return min_min;
 }
 
--- a/src/plan/duplex.h
+++ b/src/plan/duplex.h
@@ -68,9 +68,16 @@
 
 enum class Order { kMinMin, kMinMax };
 
-// Maps at most `limit` tasks; what does not fit anywhere stays out.
+// A machine's timeline as it was before a map changed it.
+struct Touched {
+  size_t machine = 0;
+  Timeline before;
+};
+
+// Maps at most `limit` tasks; what does not fit anywhere stays out. `touched`, if given, gets what
+// is needed to undo the map.
 Map MapTier(Order order, const std::vector<TaskClass>& classes, std::vector<Slots>& machines,
-            size_t limit);
+            size_t limit, std::vector<Touched>* touched = nullptr);
 // Both orders; `machines` is left as the better map has it.
 Map Duplex(const std::vector<TaskClass>& classes, std::vector<Slots>& machines, size_t limit);
 
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -143,6 +143,13 @@
         const jobs::Job* job = ledger_.Find(task.job);
         if (job == nullptr) continue;
         const Room need = NeedOf(job->spec);
+        if (auto held = m.held.find(task); held != m.held.end() &&
+                                           held->second.attempt == attempt &&
+                                           held->second.state == wire::PieceState::kExited) {
+          // Over, whether that is recorded yet or not: its room is free at once.
+          ended_[job->spec.team] += need;
+          continue;
+        }
         slots.timeline.Reserve(0, kForever, need);
         slots.timeline.Release(Remaining(*job, m, task, attempt), need);
       }
@@ -154,6 +161,7 @@
         slots.timeline.Reserve(0, context_.settings->report_s, NeedOf(job->spec));
       }
       machines_.push_back(&m);
+      flavors_.push_back(f);
       slots_.push_back(std::move(slots));
     }
   }
@@ -171,6 +179,10 @@
       s.cpus_left -= placed * job->spec.cpus;
       s.gpus_left -= placed * job->spec.gpus;
     }
+    for (const auto& [team, room] : ended_) {
+      teams[team].cpus_left += room.cpus;
+      teams[team].gpus_left += room.gpus;
+    }
     for (const jobs::Job* job : jobs_) {
       if (job->cancelled) continue;
       TeamState& s = teams[job->spec.team];
@@ -266,13 +278,6 @@
     }
   }
 
-  // Seconds until a machine that lacks the image has it.
-  double Fetch(const wire::JobSpec& spec, const fleet::Machine& m) const {
-    const wire::Flavor* f = context_.FindFlavor(m.flavor);
-    if (m.images.contains(spec.image) || f->fetch_gb_per_s <= 0) return 0;
-    return spec.image_gb / f->fetch_gb_per_s;
-  }
-
   TaskClass ClassOf(const Waiter& w) {
     const wire::JobSpec& spec = w.job->spec;
     TaskClass tc;
@@ -282,14 +287,27 @@
     // does.
     tc.pack = spec.urgency > wire::Urgency::kUrgent;
     tc.one_zone = spec.one_zone;
-    for (const fleet::Machine* m : machines_) {
-      const bool ok = Allowed(spec, *m) && !roster_.Failed(*m, spec.id);
-      tc.run_s.push_back(ok ? PredictRun(*w.job, m->flavor) + Fetch(spec, *m) : -1);
+    std::map<const wire::Flavor*, double> runs;
+    for (const wire::Flavor& f : context_.flavors) runs[&f] = PredictRun(*w.job, f.name);
+    const auto image = roster_.ImageId(spec.image);
+    const std::set<std::string>* failed = roster_.FailedOn(spec.id);
+    tc.run_s.reserve(machines_.size());
+    for (size_t i = 0; i < machines_.size(); ++i) {
+      const fleet::Machine& m = *machines_[i];
+      if (!Allowed(spec, m) || (failed != nullptr && failed->contains(m.name))) {
+        tc.run_s.push_back(-1);
+        continue;
+      }
+      // With the image's fetch, where the machine lacks it.
+      const double rate = flavors_[i]->fetch_gb_per_s;
+      const bool there = image && *image < m.images.size() && m.images[*image];
+      const double fetch = there || rate <= 0 ? 0 : spec.image_gb / rate;
+      tc.run_s.push_back(runs[flavors_[i]] + fetch);
     }
     if (!spec.one_zone && !spec.spread) return tc;
     std::map<std::string, size_t> by_zone;
     bool unclear = false;
-    for (const auto& [number, shard] : w.job->shards) {
+    for (const auto& [number, shard] : w.job->shards()) {
       for (const auto& [index, task] : shard.open) {
         if (task.machine.empty()) continue;
         auto m = roster_.all().find(task.machine);
@@ -346,7 +364,7 @@
       const size_t unmet = w.count - started[c] - later[c];
       if (unmet > 0) AddWant(w, unmet);
       laters[c].resize(w.count - started[c]);
-      Preempt(w, classes[c], laters[c]);
+      Preempt(w, classes[c], std::move(laters[c]));
     }
     return map.assignments.size();
   }
@@ -398,59 +416,95 @@
     return std::max(report, o->within_s - std::max(0.0, wall_now_ - w.job->submitted) - report);
   }
 
+  // How a task could get room on a machine by stopping others.
+  struct Eviction {
+    double cost = std::numeric_limits<double>::infinity();
+    double completion = 0;  // of the task that gets the room
+    size_t machine = 0;
+    std::vector<Preemption> victims;
+    Room left;  // what is free there afterwards
+  };
+
+  Eviction FindEviction(const Waiter& w, const TaskClass& tc, size_t i, Room room) const {
+    Eviction out;
+    const fleet::Machine& m = *machines_[i];
+    if (tc.run_s[i] < 0 || !roster_.Usable(m, now_)) return out;
+    const double report = context_.settings->report_s;
+    const bool prompt = context_.prompt_lanes.contains(w.job->spec.lane);
+    std::vector<std::tuple<double, wire::TaskId, uint64_t, double, Room>> victims;
+    for (const auto& [task, attempt] : ledger_.On(m.name)) {
+      const jobs::Job* job = ledger_.Find(task.job);
+      if (job == nullptr || !MayStop(w, *job)) continue;
+      auto held = m.held.find(task);
+      if (held == m.held.end() || held->second.attempt != attempt ||
+          held->second.state != wire::PieceState::kRunning || roster_.Stopping(task, attempt) ||
+          stopped_.contains(task)) {
+        continue;
+      }
+      const bool saves = job->spec.snapshot_every_s > 0 && !prompt;
+      const double grace = saves ? job->spec.snapshot_s : 0;
+      victims.emplace_back(Loss(*job, held->second, grace), task, attempt, grace,
+                           NeedOf(job->spec));
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](const auto& a, const auto& b) { return std::get<0>(a) < std::get<0>(b); });
+    double cost = 0, grace_s = 0;
+    for (const auto& [loss, task, attempt, grace, need] : victims) {
+      if (room.Fits(tc.need)) break;
+      room += need;
+      cost += loss;
+      grace_s = std::max(grace_s, grace);
+      out.victims.push_back({task, attempt, m.name, grace, w.job->spec.id});
+    }
+    if (out.victims.empty() || !room.Fits(tc.need)) return out;
+    room -= tc.need;
+    out.cost = cost;
+    out.completion = grace_s + kStopReports * report + report + tc.run_s[i];
+    out.machine = i;
+    out.left = room;
+    return out;
+  }
+
   // Stops work of lower rank where that lets tasks start clearly sooner than waiting would.
-  // `laters`: what the mapping gives the waiting tasks otherwise.
-  void Preempt(const Waiter& w, const TaskClass& tc, const std::vector<Later>& laters) {
+  // `laters`: what the mapping gives the waiting tasks otherwise. Each machine is looked at once
+  // for the class, and again only after it has given something up.
+  void Preempt(const Waiter& w, const TaskClass& tc, std::vector<Later> laters) {
     // Only who comes first in the order keeps the room that is made.
     if (w.job->spec.urgency > wire::Urgency::kUrgent && !Overdue(*w.job, w.guaranteed)) return;
-    const double report = context_.settings->report_s;
     const double patience = Patience(w);
+    std::erase_if(laters, [&](const Later& l) { return l.start <= patience; });
+    if (laters.empty()) return;
+    auto dearer = [](const Eviction& a, const Eviction& b) { return a.cost > b.cost; };
+    std::vector<Eviction> offers;
+    for (size_t i = 0; i < machines_.size(); ++i) {
+      Eviction e = FindEviction(w, tc, i, slots_[i].timeline.now());
+      if (!e.victims.empty() && e.cost < std::numeric_limits<double>::infinity()) {
+        offers.push_back(std::move(e));
+      }
+    }
+    std::make_heap(offers.begin(), offers.end(), dearer);
+    // Who would wait longest first.
+    std::sort(laters.begin(), laters.end(),
+              [](const Later& a, const Later& b) { return a.completion > b.completion; });
     for (const Later& later : laters) {
-      if (later.start <= patience) continue;
-      double best_cost = std::numeric_limits<double>::infinity();
-      std::vector<Preemption> best;
-      for (size_t i = 0; i < machines_.size(); ++i) {
-        if (tc.run_s[i] < 0 || !roster_.Usable(*machines_[i], now_)) continue;
-        const fleet::Machine& m = *machines_[i];
-        std::vector<std::tuple<double, wire::TaskId, uint64_t, double, Room>> victims;
-        for (const auto& [task, attempt] : ledger_.On(m.name)) {
-          const jobs::Job* job = ledger_.Find(task.job);
-          auto held = m.held.find(task);
-          if (job == nullptr || held == m.held.end() || held->second.attempt != attempt ||
-              held->second.state != wire::PieceState::kRunning || !MayStop(w, *job) ||
-              roster_.Stopping(task, attempt) || stopped_.contains(task)) {
-            continue;
-          }
-          const bool prompt = context_.prompt_lanes.contains(w.job->spec.lane);
-          const bool saves = job->spec.snapshot_every_s > 0 && !prompt;
-          const double grace = saves ? job->spec.snapshot_s : 0;
-          // Compared by completion, as the mapping does: else the task would wait for another slot
-          // even so, what was stopped would start again in the room made, and be stopped again.
-          const double stop = grace + kStopReports * report;
-          if (stop + report + tc.run_s[i] > later.completion) continue;
-          victims.emplace_back(Loss(*job, held->second, grace), task, attempt, grace,
-                               NeedOf(job->spec));
-        }
-        std::sort(victims.begin(), victims.end(),
-                  [](const auto& a, const auto& b) { return std::get<0>(a) < std::get<0>(b); });
-        Room room = slots_[i].timeline.now();
-        double cost = 0;
-        std::vector<Preemption> chosen;
-        for (const auto& [loss, task, attempt, grace, need] : victims) {
-          if (room.Fits(tc.need)) break;
-          room += need;
-          cost += loss;
-          chosen.push_back({task, attempt, m.name, grace, w.job->spec.id});
-        }
-        if (chosen.empty() || !room.Fits(tc.need) || cost >= best_cost) continue;
-        best_cost = cost;
-        best = std::move(chosen);
+      // Compared by completion, as the mapping does: else the task would wait for another slot
+      // even so, what was stopped would start again in the room made, and be stopped again.
+      while (!offers.empty() && offers.front().completion > later.completion) {
+        std::pop_heap(offers.begin(), offers.end(), dearer);
+        offers.pop_back();
       }
-      if (best.empty()) return;
-      for (const Preemption& p : best) {
+      if (offers.empty()) return;
+      std::pop_heap(offers.begin(), offers.end(), dearer);
+      const Eviction taken = std::move(offers.back());
+      offers.pop_back();
+      for (const Preemption& p : taken.victims) {
         stopped_.insert(p.task);
         result_.preemptions.push_back(p);
       }
+      Eviction next = FindEviction(w, tc, taken.machine, taken.left);
+      if (next.victims.empty() || next.cost == std::numeric_limits<double>::infinity()) continue;
+      offers.push_back(std::move(next));
+      std::push_heap(offers.begin(), offers.end(), dearer);
     }
   }
 
@@ -464,8 +518,10 @@
   std::vector<Waiter> waiters_;
   std::map<std::string, size_t> zones_;
   std::vector<const fleet::Machine*> machines_;
+  std::vector<const wire::Flavor*> flavors_;  // of machines_
   std::vector<Slots> slots_;
   std::set<wire::TaskId> stopped_;
+  std::map<std::string, Room> ended_;  // by team: recorded as placed, reported as ended
   double total_cpus_ = 0;
   RoundResult result_;
 };
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -9,7 +9,7 @@
 constexpr double kShareUsed = 0.9;
 constexpr double kReserve = 0.25;
 // The leader's part of all writes; the rest is for the others' submissions and cancellations.
-constexpr double kLeaderShare = 0.6;
+constexpr double kLeaderShare = 0.7;
 // Requests wait for their budget no longer than this part of a call's time limit.
 constexpr double kQueueRatio = 0.8;
 
@@ -83,8 +83,9 @@
 }
 
 rt::Task<std::optional<wire::HttpResponse>> Client::Call(wire::HttpRequest request, double writes,
-                                                         Urgent urgent, double timeout_s) {
-  const double most = options_.timeout_s * kQueueRatio;
+                                                         Urgent urgent, double timeout_s,
+                                                         double patience_s) {
+  const double most = patience_s < 0 ? options_.timeout_s * kQueueRatio : patience_s;
   double wait = requests_.Take(scope_.loop().Now(), 1, urgent, most);
   if (wait >= 0 && writes > 0) {
     double w = writes_.Take(scope_.loop().Now(), writes, urgent, most);
@@ -135,10 +136,11 @@
 }
 
 rt::Task<Result<Client::TxnOutcome>> Client::Txn(std::vector<wire::Guard> guards,
-                                                 std::vector<wire::Write> writes, Urgent urgent) {
+                                                 std::vector<wire::Write> writes, Urgent urgent,
+                                                 double patience_s) {
   wire::HttpRequest q{.method = "POST", .target = "/txn", .body = wire::WriteTxn(guards, writes)};
-  auto r =
-      co_await Call(std::move(q), static_cast<double>(writes.size()), urgent, options_.timeout_s);
+  auto r = co_await Call(std::move(q), static_cast<double>(writes.size()), urgent,
+                         options_.timeout_s, patience_s);
   if (r && r->status == 409) {
     co_return Result<TxnOutcome>{Status::kConflict, {0, wire::ReadFailed(r->body)}};
   }
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -56,8 +56,9 @@
     uint64_t revision = 0;
     std::vector<std::string> failed;
   };
+  // `patience_s`: how long it may wait for its budget; negative: for a part of a call's time limit.
   rt::Task<Result<TxnOutcome>> Txn(std::vector<wire::Guard> guards, std::vector<wire::Write> writes,
-                                   Urgent urgent = Urgent::kNo);
+                                   Urgent urgent = Urgent::kNo, double patience_s = -1);
   rt::Task<Result<uint64_t>> Grant(double ttl_s);
   rt::Task<Result<bool>> Extend(uint64_t permit);
   rt::Task<Result<bool>> End(uint64_t permit);
@@ -70,7 +71,8 @@
 
  private:
   rt::Task<std::optional<wire::HttpResponse>> Call(wire::HttpRequest request, double writes,
-                                                   Urgent urgent, double timeout_s);
+                                                   Urgent urgent, double timeout_s,
+                                                   double patience_s = -1);
   // Counts an answer, or none, for down().
   void Note(const std::optional<wire::HttpResponse>& r);
 
--- a/src/store/schema.cc
+++ b/src/store/schema.cc
@@ -10,8 +10,10 @@
 constexpr std::string_view kJobs = "hallpier/a/j/";
 constexpr std::string_view kShards = "hallpier/a/t/";
 constexpr std::string_view kFinals = "hallpier/f/";
-// Bytes that one open task may take: number, attempt and a machine's name.
-constexpr double kTaskBytes = 96;
+// Bytes that an open task is allowed on average: its number and a machine's name of its own.
+constexpr double kTaskBytes = 22;
+// Part of a value that open tasks may fill.
+constexpr double kOpenShare = 0.9;
 
 std::optional<uint32_t> ParseIndex(std::string_view s) {
   uint32_t n = 0;
@@ -119,13 +121,21 @@
     w.Uint(last);
   }
   w.EndArray();
-  w.Field("open").StartArray();
+  std::map<std::string_view, std::vector<std::pair<uint32_t, uint64_t>>> by_machine;
   for (const auto& [index, task] : shard.open) {
-    w.Uint(index);
-    w.Uint64(task.attempt);
-    w.Text(task.machine);
+    by_machine[task.machine].emplace_back(index, task.attempt);
   }
-  w.EndArray();
+  w.Field("on").StartObject();
+  for (const auto& [machine, tasks] : by_machine) {
+    w.Key(machine.data(), static_cast<rapidjson::SizeType>(machine.size()));
+    w.StartArray();
+    for (const auto& [index, attempt] : tasks) {
+      w.Uint(index);
+      if (attempt != 1) w.Int64(-static_cast<int64_t>(attempt));
+    }
+    w.EndArray();
+  }
+  w.EndObject();
   w.Field("runs").StartObject();
   for (const auto& [flavor, stats] : shard.runs) {
     w.Key(flavor.c_str());
@@ -144,9 +154,9 @@
   if (!d) return std::nullopt;
   Shard s;
   const wire::JsonValue* done = wire::Find(*d, "done");
-  const wire::JsonValue* open = wire::Find(*d, "open");
-  if (done == nullptr || !done->IsArray() || done->Size() % 2 != 0 || open == nullptr ||
-      !open->IsArray() || open->Size() % 3 != 0) {
+  const wire::JsonValue* on = wire::Find(*d, "on");
+  if (done == nullptr || !done->IsArray() || done->Size() % 2 != 0 || on == nullptr ||
+      !on->IsObject()) {
     return std::nullopt;
   }
   for (rapidjson::SizeType i = 0; i < done->Size(); i += 2) {
@@ -157,13 +167,24 @@
     }
     for (uint32_t n = first.GetUint(); n <= last.GetUint(); ++n) s.done.Insert(n);
   }
-  for (rapidjson::SizeType i = 0; i < open->Size(); i += 3) {
-    const auto& index = (*open)[i];
-    const auto& attempt = (*open)[i + 1];
-    const auto& machine = (*open)[i + 2];
-    if (!index.IsUint() || !attempt.IsUint64() || !machine.IsString()) return std::nullopt;
-    s.open[index.GetUint()] = {attempt.GetUint64(),
-                               std::string(machine.GetString(), machine.GetStringLength())};
+  for (const auto& m : on->GetObject()) {
+    if (!m.value.IsArray()) return std::nullopt;
+    const std::string machine(m.name.GetString(), m.name.GetStringLength());
+    TaskState* task = nullptr;
+    for (const auto& number : m.value.GetArray()) {
+      if (number.IsUint()) {
+        // A task that stands on two machines would be one that nobody can find again.
+        auto [it, fresh] = s.open.try_emplace(number.GetUint());
+        if (!fresh || number.GetUint() >= wire::kMaxPieces) return std::nullopt;
+        task = &it->second;
+        *task = {1, machine};
+      } else if (number.IsInt64() && task != nullptr && number.GetInt64() < 0) {
+        task->attempt = static_cast<uint64_t>(-(number.GetInt64() + 1)) + 1;
+        task = nullptr;
+      } else {
+        return std::nullopt;
+      }
+    }
   }
   if (const wire::JsonValue* runs = wire::Find(*d, "runs"); runs != nullptr && runs->IsObject()) {
     for (const auto& m : runs->GetObject()) {
@@ -221,7 +242,7 @@
 }
 
 uint32_t TasksPerShard(double value_kb) {
-  return std::max(1u, static_cast<uint32_t>(value_kb * 1024 * 0.75 / kTaskBytes));
+  return std::max(1u, static_cast<uint32_t>(value_kb * 1024 * kOpenShare / kTaskBytes));
 }
 
 }  // namespace hallpier::store
--- a/src/store/schema.h
+++ b/src/store/schema.h
@@ -88,7 +88,8 @@
 std::optional<LeaderRecord> ReadLeader(std::string_view json);
 std::string WriteBlock(std::string_view holder);
 
-// How many tasks share a value, so that the largest record stays within `value_kb`.
+// How many tasks share a value, so that with names of usual length the largest record stays within
+// `value_kb`. Where names are longer, placements that no longer fit wait (jobs::BuildTxns).
 uint32_t TasksPerShard(double value_kb);
 
 }  // namespace hallpier::store
--- a/tests/fixtures.h
+++ b/tests/fixtures.h
@@ -41,7 +41,7 @@
   const jobs::Job* job = ledger.Find(id);
   const uint32_t number = ledger.ShardOf(index);
   store::Shard shard;
-  if (auto it = job->shards.find(number); it != job->shards.end()) shard = it->second;
+  if (auto it = job->shards().find(number); it != job->shards().end()) shard = it->second;
   shard.open[index] = {attempt, machine};
   PutShard(ledger, id, number, shard);
 }
--- a/tests/jobs_test.cc
+++ b/tests/jobs_test.cc
@@ -21,7 +21,7 @@
   return m;
 }
 
-const BatchLimits kLimits = {8, "block", 5};
+const BatchLimits kLimits = {8, "block", 5, 0, 0};
 
 TEST(IndexSet, MergesRanges) {
   store::IndexSet s;
@@ -45,7 +45,12 @@
   EXPECT_EQ(back->done.size(), 2u);
   EXPECT_EQ(back->placed(), 1u);
   EXPECT_EQ(back->runs["c4"].count, 2u);
-  EXPECT_FALSE(store::ReadShard(R"({"done":[1],"open":[]})"));
+  for (const char* bad :
+       {R"({"done":[1],"on":{}})", R"({"done":[]})", R"({"done":[],"on":{"vm-1":[-2]}})",
+        R"({"done":[],"on":{"vm-1":[3,-2,-2]}})", R"({"done":[],"on":{"vm-1":[3],"vm-2":[3]}})",
+        R"({"done":[],"on":{"vm-1":[100000]}})"}) {
+    EXPECT_FALSE(store::ReadShard(bad)) << bad;
+  }
   EXPECT_FALSE(store::ReadShard("[]"));
   EXPECT_FALSE(store::ReadFinal(R"({"phase":"running"})"));
 }
@@ -54,10 +59,59 @@
   const double value_kb = 2;
   const uint32_t tasks = store::TasksPerShard(value_kb);
   store::Shard s;
-  for (uint32_t i = 0; i < tasks; ++i) s.open[99000 + i] = {1000000, std::string(60, 'm')};
+  for (uint32_t i = 0; i < tasks; ++i) s.open[99000 + i] = {1, "vm-" + std::to_string(100000 + i)};
   EXPECT_LT(static_cast<double>(store::WriteShard(s).size()), value_kb * 1024);
 }
 
+// Names of machines may be longer than the size of a group allows for: what does not fit waits, and
+// is placed once others have ended. The state service would refuse the whole value.
+TEST(Batch, PlacementsThatWouldOverfillAValueWait) {
+  Ledger ledger(64);
+  PutJob(ledger, Spec("run-1", 40));
+  std::vector<Mutation> all;
+  for (uint32_t i = 0; i < 40; ++i) {
+    all.push_back(Make(Kind::kPlace, i, 1, std::string(60, 'm') + std::to_string(i)));
+  }
+  BatchLimits limits = kLimits;
+  limits.value_bytes = 1024;
+  auto txns = BuildTxns(ledger, all, limits, NoStamp);
+  ASSERT_EQ(txns.size(), 1u);
+  EXPECT_LE(txns[0].writes[0].value.size(), 1024u);
+  EXPECT_EQ(txns[0].machines.size(), 10u);
+  EXPECT_EQ(store::ReadShard(txns[0].writes[0].value)->open.size(), 10u);
+}
+
+// With more to write than the budget allows, urgent starts come first and ends of single tasks
+// last, unless they have waited long; the last task's end goes with what makes the job final.
+TEST(Batch, WhatMattersMostIsWrittenFirst) {
+  Ledger ledger(64);
+  wire::JobSpec urgent = Spec("run-4", 1);
+  urgent.urgency = wire::Urgency::kUrgent;
+  for (const auto& spec : {Spec("run-1", 4), Spec("run-2", 1), Spec("run-3", 4), urgent}) {
+    PutJob(ledger, spec);
+  }
+  for (const char* id : {"run-1", "run-2"}) Place(ledger, id, 0, 1, "vm-1");
+  auto of = [](const char* job, Mutation m) {
+    m.task.job = job;
+    return m;
+  };
+  BatchLimits limits = kLimits;
+  limits.ops = 3;
+  limits.patience_s = 5;
+  std::vector<Mutation> all = {
+      of("run-1", Make(Kind::kDone, 0, 1, "vm-1")), of("run-3", Make(Kind::kPlace, 0, 1, "vm-2")),
+      of("run-2", Make(Kind::kDone, 0, 1, "vm-1")), of("run-4", Make(Kind::kPlace, 0, 1, "vm-3"))};
+  auto ranks = [&] {
+    std::vector<Rank> out;
+    for (const auto& t : BuildTxns(ledger, all, limits, NoStamp)) out.push_back(t.rank);
+    return out;
+  };
+  EXPECT_EQ(ranks(), (std::vector<Rank>{Rank::kUrgentStart, Rank::kEnd, Rank::kStart}));
+  all[0].age_s = 6;
+  all.erase(all.begin() + 1);
+  EXPECT_EQ(ranks().back(), Rank::kStart);
+}
+
 TEST(Batch, APlacementIsGuardedByBlockJobAndShard) {
   Ledger ledger(64);
   PutJob(ledger, Spec("run-1", 4));
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -199,7 +199,8 @@
 TEST_F(RosterTest, FailuresCountEvenIfTheTaskWasNeverSeenAlive) {
   Checkin(1, 1, kToken, 1,
           {PieceOf("run-2", 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
-  EXPECT_TRUE(roster_.Failed(*roster_.Find("vm-1"), "run-2"));
+  ASSERT_NE(roster_.FailedOn("run-2"), nullptr);
+  EXPECT_TRUE(roster_.FailedOn("run-2")->contains("vm-1"));
   EXPECT_FALSE(roster_.Find("vm-1")->returning);
   Checkin(1, 2, kToken, 2,
           {PieceOf("run-3", 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
