--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace hallpier::fleet {
 namespace {
@@ -34,8 +35,14 @@
 }
 
 Machine* Roster::Find(const std::string& name) {
-  auto it = machines_.find(name);
-  return it == machines_.end() ? nullptr : &it->second;
+  auto it = index_.find(name);
+  return it == index_.end() ? nullptr : it->second;
+}
+
+std::pair<Machine*, bool> Roster::Add(const std::string& name) {
+  auto [it, fresh] = index_.try_emplace(name, nullptr);
+  if (fresh) it->second = &machines_.try_emplace(name).first->second;
+  return {it->second, fresh};
 }
 
 void Roster::TakePieces(Machine& m, const wire::Report& r, double now) {
@@ -67,8 +74,8 @@
 }
 
 bool Roster::OnReport(const wire::Report& r, double now, bool direct) {
-  auto [it, fresh] = machines_.try_emplace(r.machine);
-  Machine& m = it->second;
+  auto [known, fresh] = Add(r.machine);
+  Machine& m = *known;
   if (fresh) {
     m.name = r.machine;
     m.rented_at = now;
@@ -142,12 +149,13 @@
 }
 
 void Roster::OnListed(const std::vector<wire::Listed>& list, double asked, double now) {
-  std::set<std::string> seen;
+  std::unordered_set<std::string> seen;
+  seen.reserve(list.size());
   for (const wire::Listed& l : list) {
     if (gone_.contains(l.machine)) continue;  // lists lag
     seen.insert(l.machine);
-    auto [it, fresh] = machines_.try_emplace(l.machine);
-    Machine& m = it->second;
+    auto [known, fresh] = Add(l.machine);
+    Machine& m = *known;
     if (fresh || !m.reported()) {
       m.name = l.machine;
       m.endpoint = l.endpoint;
@@ -184,9 +192,9 @@
 void Roster::OnRented(const std::vector<std::string>& names, const wire::Rental& rental,
                       double now) {
   for (const auto& name : names) {
-    auto [it, fresh] = machines_.try_emplace(name);
+    auto [known, fresh] = Add(name);
     if (!fresh) continue;
-    Machine& m = it->second;
+    Machine& m = *known;
     m.name = name;
     m.flavor = rental.flavor;
     m.zone = rental.zone;
@@ -196,6 +204,7 @@
 }
 
 void Roster::OnReturned(const std::string& machine) {
+  index_.erase(machine);
   machines_.erase(machine);
   gone_.insert(machine);
   // Names grow with time: the oldest are the last that could still be heard of.
@@ -275,6 +284,13 @@
 std::vector<wire::Order> Roster::Orders(Machine& m, const jobs::Ledger& ledger, bool direct) {
   std::vector<wire::Order> out;
   const auto& placements = ledger.On(m.name);
+  // Orders for what is neither recorded nor there any more have had their effect, unless they may
+  // still arrive.
+  std::erase_if(m.sent, [&](const auto& s) {
+    const bool current = s.second.token == token_ && s.second.tenure == m.tenure;
+    return !placements.contains(s.first) && !m.held.contains(s.first) &&
+           !(current && s.second.loose());
+  });
   for (const auto& [task, h] : m.held) {
     auto recorded = placements.find(task);
     if (recorded != placements.end() && recorded->second == h.attempt) continue;
@@ -333,13 +349,14 @@
 bool Roster::NeedsFence(const jobs::Ledger& ledger) const {
   for (const auto& [name, m] : machines_) {
     if (m.token != token_ || m.returning) continue;
-    for (const auto& [task, attempt] : ledger.On(name)) {
-      auto s = m.sent.find(task);
-      if (s == m.sent.end() || !s->second.lost || s->second.token != token_) continue;
-      if (s->second.tenure == m.tenure && m.checkin_tick > s->second.tick &&
-          !m.held.contains(task) && Unwanted(m, task, attempt, ledger)) {
-        return true;
+    for (const auto& [task, s] : m.sent) {
+      if (!s.lost || s.token != token_ || s.tenure != m.tenure || m.checkin_tick <= s.tick ||
+          m.held.contains(task)) {
+        continue;
       }
+      const auto& placements = ledger.On(name);
+      auto recorded = placements.find(task);
+      if (recorded != placements.end() && Unwanted(m, task, recorded->second, ledger)) return true;
     }
   }
   return false;
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "jobs/ledger.h"
@@ -137,6 +138,7 @@
   Machine* Find(const std::string& name);
 
  private:
+  std::pair<Machine*, bool> Add(const std::string& name);  // true: it is new
   bool ProvenAbsent(const Machine& m, const wire::TaskId& task) const;
   bool Unwanted(const Machine& m, const wire::TaskId& task, uint64_t attempt,
                 const jobs::Ledger& ledger) const;
@@ -148,7 +150,9 @@
   uint64_t token_ = 0;
   double term_start_ = 0;
   double others_until_ = 0;
+  // By name, since plans go through them in that order; the index is for the many look-ups.
   std::map<std::string, Machine> machines_;
+  std::unordered_map<std::string, Machine*> index_;
   struct StopWish {
     uint64_t attempt;
     double grace_s;
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -71,17 +71,30 @@
   return it == by_machine_.end() ? kNone : it->second;
 }
 
-void Ledger::Index(const std::string& job, const store::Shard& shard, bool add) {
-  for (const auto& [index, task] : shard.open) {
-    if (task.machine.empty()) continue;
-    if (add) {
-      by_machine_[task.machine][{job, index}] = task.attempt;
-      continue;
+void Ledger::Unplace(const std::string& job, uint32_t index, const std::string& machine) {
+  auto it = by_machine_.find(machine);
+  if (it == by_machine_.end()) return;
+  it->second.erase({job, index});
+  if (it->second.empty()) by_machine_.erase(it);
+}
+
+void Ledger::Index(const std::string& job, const store::Shard* before, const store::Shard* after) {
+  // A change moves few of a group's tasks: only these are taken out and put in.
+  static const std::map<uint32_t, store::TaskState> kNone;
+  const auto& old = before == nullptr ? kNone : before->open;
+  const auto& now = after == nullptr ? kNone : after->open;
+  auto o = old.begin();
+  auto n = now.begin();
+  while (o != old.end() || n != now.end()) {
+    const bool left = n == now.end() || (o != old.end() && o->first < n->first);
+    const bool came = !left && (o == old.end() || n->first < o->first);
+    const bool moved = !left && !came && !(o->second == n->second);
+    if ((left || moved) && !o->second.machine.empty()) Unplace(job, o->first, o->second.machine);
+    if ((came || moved) && !n->second.machine.empty()) {
+      by_machine_[n->second.machine][{job, n->first}] = n->second.attempt;
     }
-    auto it = by_machine_.find(task.machine);
-    if (it == by_machine_.end()) continue;
-    it->second.erase({job, index});
-    if (it->second.empty()) by_machine_.erase(it);
+    if (!came) ++o;
+    if (!left) ++n;
   }
 }
 
@@ -128,12 +141,11 @@
   } else if (lost != orphans_.end()) {
     shards = &lost->second;
   }
+  const store::Shard* before = nullptr;
   if (shards != nullptr) {
-    if (auto old = shards->find(key.shard); old != shards->end()) {
-      Index(key.job, old->second, false);
-    }
+    if (auto old = shards->find(key.shard); old != shards->end()) before = &old->second;
   }
-  if (shard) Index(key.job, *shard, true);
+  Index(key.job, before, shard ? &*shard : nullptr);
   if (job != jobs_.end()) {
     job->second.SetShard(key.shard, std::move(shard));
   } else if (shard) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -67,7 +67,7 @@
   const std::unordered_map<std::string, Job>& all() const { return jobs_; }
   const Job* Find(const std::string& id) const;
   using Placements = std::map<wire::TaskId, uint64_t>;  // task -> attempt
-  const std::map<std::string, Placements>& by_machine() const { return by_machine_; }
+  const std::unordered_map<std::string, Placements>& by_machine() const { return by_machine_; }
   const Placements& On(const std::string& machine) const;
 
   uint32_t ShardOf(uint32_t index) const { return index / tasks_per_shard_; }
@@ -82,12 +82,14 @@
   std::vector<std::string> Orphans() const;
 
  private:
-  void Index(const std::string& job, const store::Shard& shard, bool add);
+  // Brings by_machine_ from what a group held before to what it holds now; null: nothing.
+  void Index(const std::string& job, const store::Shard* before, const store::Shard* after);
+  void Unplace(const std::string& job, uint32_t index, const std::string& machine);
 
   const uint32_t tasks_per_shard_;
   std::unordered_map<std::string, Job> jobs_;
   std::map<std::string, std::map<uint32_t, store::Shard>> orphans_;
-  std::map<std::string, Placements> by_machine_;
+  std::unordered_map<std::string, Placements> by_machine_;
 };
 
 }  // namespace hallpier::jobs
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -48,8 +48,9 @@
 }
 
 rt::Task<bool> Stream::Read(rt::Scope& scope, std::string& out, double deadline) {
-  std::array<char, 16 * 1024> chunk;
-  static_assert(chunk.size() <= kReadSize);
+  // One for all: nothing is kept in it while a routine waits. In the routine itself it would make
+  // every idle connection as large.
+  static std::array<char, kReadSize> chunk;
   while (true) {
     ssize_t n = recv(fd_.get(), chunk.data(), chunk.size(), 0);
     if (n > 0) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -2,6 +2,7 @@
 // as it is: nothing here knows about the service's insides.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -80,7 +81,12 @@
 struct TaskId {
   std::string job;
   uint32_t index = 0;
-  auto operator<=>(const TaskId&) const = default;
+  // Numbers first: most comparisons then end without a look at the text.
+  friend std::strong_ordering operator<=>(const TaskId& a, const TaskId& b) {
+    if (a.index != b.index) return a.index <=> b.index;
+    return a.job <=> b.job;
+  }
+  friend bool operator==(const TaskId&, const TaskId&) = default;
 };
 std::string TaskName(const TaskId& task);
 std::optional<TaskId> ParseTaskName(std::string_view name);
