Rent as fast as the cloud allows, for all that waits

Cause: on the grown deployments the last machines were asked for 45 s after the first, since each offer was asked once a cycle of 5 s, and only the 500 tasks that a round maps counted as wanted.

Now a want is split into as many requests as a second allows, a cycle lasts a second, long lists come the less often, and tasks that no round could look at yet want machines too: as many as would be through with them by the time that new ones are up.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace hallpier::app {
 namespace {
@@ -279,12 +280,14 @@
   const double asked = term.loop().Now();
   std::vector<wire::Listed> all;
   std::string after;
+  list_pages_ = 0;
   while (!term.cancelled()) {
     std::string target = "/rentals?limit=500";
     if (!after.empty()) target += "&from=" + wire::EscapeQuery(after);
     wire::HttpRequest q{.method = "GET", .target = std::move(target), .body = {}};
     auto r = co_await CallCloud(term, std::move(q));
     if (!r || r->status != 200) co_return false;
+    ++list_pages_;
     auto page = wire::ReadMachineList(r->body);
     if (!page) {
       spdlog::warn("cloud: the list of machines can't be read");
@@ -300,10 +303,13 @@
 }
 
 rt::Task<> Duties::Rent(rt::Scope& term) {
+  const auto most = static_cast<size_t>(std::ceil(d_.settings->cloud_rps));
   auto rentals =
-      renter_.Rentals(wants_, context_.flavors, d_.leadership->token(), term.loop().Now());
-  wants_.clear();
+      renter_.Rentals(wants_, context_.flavors, d_.leadership->token(), most, term.loop().Now());
+  // An offer that has run dry in between is not asked again.
+  std::set<std::tuple<std::string, std::string, bool>> dry;
   for (const wire::Rental& r : rentals) {
+    if (dry.contains({r.flavor, r.zone, r.spot})) continue;
     if (term.cancelled() || !d_.leadership->Entitled()) co_return;
     wire::HttpRequest q{.method = "POST", .target = "/rentals", .body = wire::WriteRental(r)};
     auto answer = co_await CallCloud(term, std::move(q));
@@ -318,13 +324,15 @@
       spdlog::info("rented {} of {} {} in {} ({})", names->size(), r.count, r.flavor, r.zone,
                    r.spot ? "spot" : "ordinary");
       roster_.OnRented(*names, r, now);
-      if (static_cast<int>(names->size()) < r.count) renter_.OnShort(r, now);
-    } else if (answer->body.find("no capacity") != std::string::npos) {
-      renter_.OnShort(r, now);
-    } else {
+      if (static_cast<int>(names->size()) == r.count) continue;
+    } else if (answer->body.find("no capacity") == std::string::npos) {
       co_return;
     }
+    renter_.OnShort(r, now);
+    dry.insert({r.flavor, r.zone, r.spot});
   }
+  // What rounds wanted meanwhile did not know of these machines yet.
+  wants_.clear();
 }
 
 rt::Task<> Duties::ReturnMachines(rt::Scope& term) {
@@ -347,11 +355,16 @@
 }
 
 rt::Task<> Duties::CloudLoop(rt::Scope& term) {
-  const double period =
-      std::max(1 / (kListShare * d_.settings->cloud_rps), d_.settings->report_s / 3);
+  const double per_call = 1 / (kListShare * d_.settings->cloud_rps);
+  double list_at = 0;
+  bool listed = false;
   while (!term.cancelled()) {
     co_await LearnFlavors(term);
-    bool listed = co_await ListMachines(term);
+    if (term.loop().Now() >= list_at) {
+      listed = co_await ListMachines(term);
+      // A long list takes many calls: it comes the less often.
+      list_at = term.loop().Now() + std::max(d_.settings->report_s / 3, per_call * list_pages_);
+    }
     if (term.cancelled()) break;
     const double now = term.loop().Now();
     const bool heard = renter_.Review(roster_, *d_.ledger, context_, !wants_.empty(), now);
@@ -361,7 +374,7 @@
     }
     co_await ReturnMachines(term);
     if (listed) co_await Rent(term);
-    rt::Sleep pause(term, period);
+    rt::Sleep pause(term, per_call);
     co_await pause;
   }
 }
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -75,6 +75,7 @@
   uint64_t term_began_ = 0;
   double round_took_ = 0;
   double flavors_at_ = -1;
+  int list_pages_ = 0;  // of the last list
 };
 
 }  // namespace hallpier::app
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -22,7 +22,7 @@
 
 std::vector<wire::Rental> Renter::Rentals(const std::vector<plan::Want>& wants,
                                           const std::vector<wire::Flavor>& flavors, uint64_t token,
-                                          double now) {
+                                          size_t most, double now) {
   struct Pool {
     const plan::Want* want;
     double tasks;
@@ -52,20 +52,23 @@
           if (!dry && !asked.contains(o)) offers.push_back(std::move(o));
         }
         // Spread over the zones, so that no single one takes everything with it.
-        for (size_t i = 0; i < offers.size() && pool.tasks > 0; ++i) {
-          const double fit = static_cast<double>(choice.fit);
-          const int left = static_cast<int>(std::ceil(pool.tasks / fit));
-          const int rest = static_cast<int>(offers.size() - i);
-          wire::Rental r;
-          r.request = "hallpier-" + std::to_string(token) + "-" + std::to_string(++number_);
-          r.flavor = offers[i].flavor;
-          r.zone = offers[i].zone;
-          r.spot = spot;
-          r.count = std::min(kMostPerRequest, (left + rest - 1) / rest);
-          pool.tasks -= r.count * fit;
-          asked.insert(offers[i]);
-          out.push_back(std::move(r));
+        const double fit = static_cast<double>(choice.fit);
+        while (!offers.empty() && pool.tasks > 0 && out.size() < most) {
+          int left = static_cast<int>(std::ceil(pool.tasks / fit));
+          for (size_t i = 0; i < offers.size() && left > 0 && out.size() < most; ++i) {
+            const int rest = static_cast<int>(offers.size() - i);
+            wire::Rental r;
+            r.request = "hallpier-" + std::to_string(token) + "-" + std::to_string(++number_);
+            r.flavor = offers[i].flavor;
+            r.zone = offers[i].zone;
+            r.spot = spot;
+            r.count = std::min(kMostPerRequest, (left + rest - 1) / rest);
+            left -= r.count;
+            pool.tasks -= r.count * fit;
+            out.push_back(std::move(r));
+          }
         }
+        asked.insert(offers.begin(), offers.end());
       }
     }
   }
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -17,11 +17,12 @@
   Renter(const config::Settings& settings, const config::Operator& operators)
       : settings_(settings), operators_(operators) {}
 
-  // Requests for what the last round wants, cheapest offers first; each names its own request.
+  // Requests for what the last round wants, at most `most`, cheapest offers first; each names its
+  // own request.
   // Names are unique for ever: they hold the token of the term and a number of its own.
   std::vector<wire::Rental> Rentals(const std::vector<plan::Want>& wants,
                                     const std::vector<wire::Flavor>& flavors, uint64_t token,
-                                    double now);
+                                    size_t most, double now);
   // An offer gave less than asked: it is left alone for a while.
   void OnShort(const wire::Rental& rental, double now);
 
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -64,7 +64,7 @@
     LeaveNoticed();
     BuildMachines();
     BuildWaiters();
-    size_t left = kOldest;
+    size_t left = kOldest, mapped = 0;
     bool reserved = false;
     for (size_t i = 0; i < waiters_.size() && left > 0;) {
       size_t j = i;
@@ -75,7 +75,9 @@
       }
       left -= std::min(left, PlanTier(i, j, left));
       i = j;
+      mapped = j;
     }
+    WantForRest(mapped);
     return std::move(result_);
   }
 
@@ -393,6 +395,23 @@
     result_.wants.push_back(std::move(want));
   }
 
+  // Machines for what no round could look at yet: as many as would be through with it by the time
+  // that new ones are up, and never more than its tasks could use at once.
+  void WantForRest(size_t begin) {
+    double work = 0;
+    for (size_t i = begin; i < waiters_.size(); ++i) {
+      const wire::JobSpec& spec = waiters_[i].job->spec;
+      const double run = waiters_[i].job->MeanRun().value_or(spec.estimate_s);
+      work += static_cast<double>(waiters_[i].count) * run * spec.cpus;
+    }
+    const double missing = work <= 0 ? 0 : 1 - total_cpus_ * BootTime() / work;
+    if (missing <= 0) return;
+    for (size_t i = begin; i < waiters_.size(); ++i) {
+      const double tasks = std::ceil(missing * static_cast<double>(waiters_[i].count));
+      AddWant(waiters_[i], static_cast<size_t>(tasks));
+    }
+  }
+
   bool MayStop(const Waiter& w, const jobs::Job& victim) const {
     if (victim.spec.urgency > w.job->spec.urgency) return true;
     return Overdue(*w.job, w.guaranteed) && victim.spec.team != w.job->spec.team &&
