Nobody is stopped for later work; machines in use are packed first; reaction time

Machines could not be packed by how long they are in use, since a timeline with any task on it ended at 1e9 s. With a report period of 10 s, stops and patience were reckoned in tens of seconds, though changes are told at once.

Tried and taken back: work within a guarantee first as soon as its aim asks, with and without stopping others for it.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -9,7 +9,7 @@
 namespace hallpier::app {
 namespace {
 
-// Rounds that something new calls for come at least this part of a report period apart...
+// Rounds that something new calls for come at least this part of the reaction time apart...
 constexpr double kRoundGap = 1.0 / 12;
 // ...and leave this many times their own length to everything else.
 constexpr double kRoundRest = 5;
@@ -95,9 +95,9 @@
     co_await wait;
   }
   while (!term.cancelled()) {
+    const double least = kRoundGap * config::ReactionS(*d_.settings, *d_.operators);
     const double gap =
-        std::clamp(kRoundRest * round_took_, kRoundGap * d_.settings->report_s,
-                   std::max(d_.operators->round_s, kRoundGap * d_.settings->report_s));
+        std::clamp(kRoundRest * round_took_, least, std::max(d_.operators->round_s, least));
     rt::Sleep rest(term, gap);
     co_await rest;
     if (!work_waits_) {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -3,6 +3,7 @@
 #include <confuse.h>
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cstdarg>
 #include <cstdio>
 #include <fstream>
@@ -113,6 +114,11 @@
   return nullptr;
 }
 
+double ReactionS(const Settings& settings, const Operator& operators) {
+  constexpr double kRounds = 1.5;
+  return std::min(settings.report_s, kRounds * operators.round_s);
+}
+
 Settings ParseSettings(const std::string& text, std::vector<std::string>* faults) {
   Settings s;
   toml::table root;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -70,6 +70,11 @@
   double urgent_reserve = 0.08;   // share of all processors kept for prod and urgent work
 };
 
+// How soon a change on a machine is known and answered: workers tell of changes between their
+// regular reports, and orders go to them directly, so that a long report period does not make it
+// longer.
+double ReactionS(const Settings& settings, const Operator& operators);
+
 // Both add one line per fault to `faults`, naming field and value; no line means success.
 Settings LoadSettings(const std::string& path, std::vector<std::string>* faults);
 Settings ParseSettings(const std::string& text, std::vector<std::string>* faults);
--- a/src/plan/duplex.cc
+++ b/src/plan/duplex.cc
@@ -7,6 +7,8 @@
 namespace hallpier::plan {
 namespace {
 constexpr double kEpsilon = 1e-6;
+// Steps in which it is compared how much longer a machine would be in use.
+constexpr double kSteps = 4;
 }  // namespace
 
 Room& Room::operator+=(const Room& o) {
@@ -70,14 +72,17 @@
 struct Candidate {
   double completion;
   double start;
-  double room;  // free processors, where the class packs
+  double longer;  // how much longer the machine would be in use, where the class packs
+  double room;    // free processors, where the class packs
   size_t machine;
 
-  // Of equal completions the fullest machine, then the first one. Completions are compared in whole
-  // milliseconds: that is an order, as a comparison with a tolerance would not be.
+  // Of equal completions the machine that would be in use anyway, then the fullest, then the first
+  // one: so that whole machines come free for tasks that need one. Completions are compared in
+  // whole milliseconds: that is an order, as a comparison with a tolerance would not be.
   friend bool operator>(const Candidate& a, const Candidate& b) {
     const auto x = std::llround(a.completion * 1e3), y = std::llround(b.completion * 1e3);
     if (x != y) return x > y;
+    if (a.longer != b.longer) return a.longer > b.longer;
     if (a.room != b.room) return a.room > b.room;
     return a.machine > b.machine;
   }
@@ -115,7 +120,7 @@
       const Candidate top = heap_.front();
       Candidate now;
       const bool there = ZoneAllowed(machines_[top.machine].zone) && Evaluate(top.machine, &now);
-      if (there && now.start == top.start && now.room == top.room) return;
+      if (there && !(now > top) && !(top > now)) return;
       std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
       if (!there) {
         heap_.pop_back();
@@ -132,7 +137,12 @@
     if (run < 0) return false;
     const double start = machines_[m].timeline.Earliest(tc_.need, run);
     if (start < 0) return false;
-    *out = {start + run, start, tc_.pack ? machines_[m].timeline.now().cpus : 0, m};
+    *out = {start + run, start, 0, 0, m};
+    if (!tc_.pack) return true;
+    // In steps, so that small differences do not spread tasks over half-empty machines.
+    const double longer = std::max(0.0, run - machines_[m].timeline.last());
+    out->longer = std::ceil(longer * kSteps / run);
+    out->room = machines_[m].timeline.now().cpus;
     return true;
   }
   bool ZoneAllowed(size_t zone) const {
--- a/src/plan/duplex.h
+++ b/src/plan/duplex.h
@@ -27,6 +27,8 @@
   double Earliest(const Room& room, double length) const;
   void Reserve(double start, double length, const Room& room);
   const Room& now() const { return steps_.front().free; }
+  // From here on nothing changes any more.
+  double last() const { return steps_.back().time; }
 
  private:
   struct Step {
@@ -47,7 +49,7 @@
   Room need;
   size_t count = 0;
   std::vector<double> run_s;  // per machine; negative: not allowed there
-  bool pack = false;          // of equal completions the fullest machine
+  bool pack = false;          // of equal completions a machine that is in use anyway
   bool one_zone = false;
   int fixed_zone = -1;  // with one_zone: where the others are already
   // With spread: how many more tasks each zone may take; empty without.
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 
 namespace hallpier::plan {
 namespace {
@@ -17,8 +18,8 @@
 constexpr double kWorthRenting = 0.2;
 // A lane is prompt if its tasks should start within this many report periods.
 constexpr double kPromptReports = 3;
-// What a stop takes beyond saving, in report periods.
-constexpr double kStopReports = 1.0 / 3;
+// What a stop takes beyond saving, as a part of the reaction time.
+constexpr double kStopReactions = 1.0 / 3;
 
 Room NeedOf(const wire::JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
 
@@ -36,8 +37,7 @@
 struct TeamState {
   double cpus_left = std::numeric_limits<double>::infinity();
   double gpus_left = std::numeric_limits<double>::infinity();
-  double owed_cpus = 0;  // of unfinished jobs so far, oldest first
-  double owed_gpus = 0;
+  Room owed;  // what is left of unfinished jobs so far, oldest first
 };
 
 struct Waiter {
@@ -92,14 +92,13 @@
   // Machines that are about to be taken: what can't end in time saves, if it can, or starts anew
   // elsewhere now rather than after its machine is found to be gone.
   void LeaveNoticed() {
-    const double report = context_.settings->report_s;
     for (const auto& [name, m] : roster_.all()) {
       if (!m.noticed()) continue;
       const double left = m.reclaim_at - now_;
       for (const auto& [task, attempt] : ledger_.On(name)) {
         const jobs::Job* job = ledger_.Find(task.job);
         if (job == nullptr || roster_.Stopping(task, attempt)) continue;
-        if (Remaining(*job, m, task, attempt) < left - kStopReports * report) continue;
+        if (Remaining(*job, m, task, attempt) < left - kStopReactions * Reaction()) continue;
         const bool saves = job->spec.snapshot_every_s > 0 && job->spec.snapshot_s < left;
         result_.preemptions.push_back({task, attempt, name, saves ? job->spec.snapshot_s : 0, {}});
       }
@@ -116,7 +115,7 @@
     const double run = PredictRun(job, m.flavor);
     auto held = m.held.find(task);
     if (roster_.Stopping(task, attempt)) {
-      return job.spec.snapshot_s + kStopReports * context_.settings->report_s;
+      return job.spec.snapshot_s + kStopReactions * Reaction();
     }
     if (held == m.held.end() || held->second.attempt != attempt ||
         held->second.state != wire::PieceState::kRunning) {
@@ -134,13 +133,13 @@
       const bool coming =
           !m.reported() && m.booting && !m.returning && now_ - m.rented_at < 2 * f->ready_s;
       if (!usable && !coming) continue;
-      Slots slots{Timeline(usable ? capacity : Room{}), ZoneIndex(m.zone)};
+      total_cpus_ += f->cpus;
+      Room free = usable ? capacity : Room{};
+      std::vector<std::pair<double, Room>> releases;
       if (coming) {
         const double ready = m.rented_at + f->ready_s - now_;
-        slots.timeline.Release(std::max(ready, context_.settings->report_s), capacity);
+        releases.emplace_back(std::max(ready, context_.settings->report_s), capacity);
       }
-      total_cpus_ += f->cpus;
-      constexpr double kForever = 1e9;
       for (const auto& [task, attempt] : ledger_.On(name)) {
         const jobs::Job* job = ledger_.Find(task.job);
         if (job == nullptr) continue;
@@ -152,16 +151,19 @@
           ended_[job->spec.team] += need;
           continue;
         }
-        slots.timeline.Reserve(0, kForever, need);
-        slots.timeline.Release(Remaining(*job, m, task, attempt), need);
+        free -= need;
+        releases.emplace_back(Remaining(*job, m, task, attempt), need);
       }
       for (const auto& [task, held] : m.held) {
         // What runs there without being recorded there is being stopped.
         const bool recorded = ledger_.On(name).contains(task);
         const jobs::Job* job = ledger_.Find(task.job);
         if (recorded || job == nullptr || held.state == wire::PieceState::kExited) continue;
-        slots.timeline.Reserve(0, context_.settings->report_s, NeedOf(job->spec));
+        free -= NeedOf(job->spec);
+        releases.emplace_back(Reaction(), NeedOf(job->spec));
       }
+      Slots slots{Timeline(free), ZoneIndex(m.zone)};
+      for (const auto& [time, room] : releases) slots.timeline.Release(time, room);
       machines_.push_back(&m);
       flavors_.push_back(f);
       slots_.push_back(std::move(slots));
@@ -190,15 +192,16 @@
       TeamState& s = teams[job->spec.team];
       const config::Team* team = context_.settings->FindTeam(job->spec.team);
       const double unfinished = job->spec.tasks - job->done();
-      s.owed_cpus += unfinished * job->spec.cpus;
-      s.owed_gpus += unfinished * job->spec.gpus;
+      s.owed += {unfinished * job->spec.cpus, unfinished * job->spec.gpus, 0};
       const bool has = team != nullptr && (team->cpus > 0 || team->gpus > 0);
-      const bool within = has && s.owed_cpus <= team->cpus && s.owed_gpus <= team->gpus;
+      const Room guarantee = has ? Room{team->cpus, team->gpus, 0} : Room{};
+      const bool within = has && guarantee.Fits(s.owed);
       if (within) guaranteed_.insert(job);
       NotePrompt(*job);
+      const int tier = TierOf(*job, within);
+      tiers_[job] = tier;
       if (job->waiting() == 0) continue;
-      const int tier = TierOf(*job, within) * kBands + Band(*job);
-      waiters_.push_back({job, within, tier, job->waiting()});
+      waiters_.push_back({job, within, tier * kBands + Band(*job), job->waiting()});
     }
     std::stable_sort(waiters_.begin(), waiters_.end(),
                      [](const Waiter& a, const Waiter& b) { return a.tier < b.tier; });
@@ -249,6 +252,8 @@
     return band;
   }
 
+  double Reaction() const { return config::ReactionS(*context_.settings, *context_.operators); }
+
   double BootTime() const {
     double boot = context_.settings->report_s;
     for (const wire::Flavor& f : context_.flavors) boot = std::max(boot, f.ready_s);
@@ -412,7 +417,42 @@
     }
   }
 
+  // What runs on a machine and could be stopped for somebody.
+  struct Victim {
+    wire::TaskId task;
+    uint64_t attempt = 0;
+    const jobs::Job* job = nullptr;
+    const fleet::Held* held = nullptr;
+    Room need;
+  };
+
+  // Looked up once for all classes of a round that want room made.
+  const std::vector<Victim>& VictimsOn(size_t i) {
+    if (victims_.empty()) {
+      victims_.resize(machines_.size());
+      for (size_t m = 0; m < machines_.size(); ++m) FindVictims(m);
+    }
+    return victims_[i];
+  }
+
+  void FindVictims(size_t i) {
+    const fleet::Machine& m = *machines_[i];
+    if (!roster_.Usable(m, now_)) return;
+    for (const auto& [task, attempt] : ledger_.On(m.name)) {
+      const jobs::Job* job = ledger_.Find(task.job);
+      auto held = m.held.find(task);
+      if (job == nullptr || held == m.held.end() || held->second.attempt != attempt ||
+          held->second.state != wire::PieceState::kRunning || roster_.Stopping(task, attempt)) {
+        continue;
+      }
+      victims_[i].push_back({task, attempt, job, &held->second, NeedOf(job->spec)});
+    }
+  }
+
   bool MayStop(const Waiter& w, const jobs::Job& victim) const {
+    // Who comes first in the order would get the room again, and be stopped again.
+    auto tier = tiers_.find(&victim);
+    if (tier != tiers_.end() && tier->second <= w.tier / kBands) return false;
     if (victim.spec.urgency > w.job->spec.urgency) return true;
     return Overdue(*w.job, w.guaranteed) && victim.spec.team != w.job->spec.team &&
            !guaranteed_.contains(&victim);
@@ -428,11 +468,11 @@
   // How long a task may still wait before others are stopped for it.
   double Patience(const Waiter& w) const {
     const wire::JobSpec& spec = w.job->spec;
-    const double report = context_.settings->report_s;
+    const double soon = Reaction();
     if (spec.urgency > wire::Urgency::kUrgent) return BootTime();
     const config::Objective* o = context_.settings->FindObjective("wait", spec.lane);
-    if (o == nullptr) return 2 * report;
-    return std::max(report, o->within_s - std::max(0.0, wall_now_ - w.job->submitted) - report);
+    if (o == nullptr) return 2 * soon;
+    return std::max(soon, o->within_s - std::max(0.0, wall_now_ - w.job->submitted) - soon);
   }
 
   // How a task could get room on a machine by stopping others.
@@ -444,41 +484,32 @@
     Room left;  // what is free there afterwards
   };
 
-  Eviction FindEviction(const Waiter& w, const TaskClass& tc, size_t i, Room room) const {
+  Eviction FindEviction(const Waiter& w, const TaskClass& tc, size_t i, Room room) {
     Eviction out;
     const fleet::Machine& m = *machines_[i];
-    if (tc.run_s[i] < 0 || !roster_.Usable(m, now_)) return out;
-    const double report = context_.settings->report_s;
+    if (tc.run_s[i] < 0) return out;
     const bool prompt = context_.prompt_lanes.contains(w.job->spec.lane);
-    std::vector<std::tuple<double, wire::TaskId, uint64_t, double, Room>> victims;
-    for (const auto& [task, attempt] : ledger_.On(m.name)) {
-      const jobs::Job* job = ledger_.Find(task.job);
-      if (job == nullptr || !MayStop(w, *job)) continue;
-      auto held = m.held.find(task);
-      if (held == m.held.end() || held->second.attempt != attempt ||
-          held->second.state != wire::PieceState::kRunning || roster_.Stopping(task, attempt) ||
-          stopped_.contains(task)) {
-        continue;
-      }
-      const bool saves = job->spec.snapshot_every_s > 0 && !prompt;
-      const double grace = saves ? job->spec.snapshot_s : 0;
-      victims.emplace_back(Loss(*job, held->second, grace), task, attempt, grace,
-                           NeedOf(job->spec));
+    std::vector<std::tuple<double, double, const Victim*>> victims;  // loss, grace
+    for (const Victim& v : VictimsOn(i)) {
+      if (!MayStop(w, *v.job) || stopped_.contains(v.task)) continue;
+      const bool saves = v.job->spec.snapshot_every_s > 0 && !prompt;
+      const double grace = saves ? v.job->spec.snapshot_s : 0;
+      victims.emplace_back(Loss(*v.job, *v.held, grace), grace, &v);
     }
     std::sort(victims.begin(), victims.end(),
               [](const auto& a, const auto& b) { return std::get<0>(a) < std::get<0>(b); });
     double cost = 0, grace_s = 0;
-    for (const auto& [loss, task, attempt, grace, need] : victims) {
+    for (const auto& [loss, grace, v] : victims) {
       if (room.Fits(tc.need)) break;
-      room += need;
+      room += v->need;
       cost += loss;
       grace_s = std::max(grace_s, grace);
-      out.victims.push_back({task, attempt, m.name, grace, w.job->spec.id});
+      out.victims.push_back({v->task, v->attempt, m.name, grace, w.job->spec.id});
     }
     if (out.victims.empty() || !room.Fits(tc.need)) return out;
     room -= tc.need;
     out.cost = cost;
-    out.completion = grace_s + kStopReports * report + report + tc.run_s[i];
+    out.completion = grace_s + (kStopReactions + 1) * Reaction() + tc.run_s[i];
     out.machine = i;
     out.left = room;
     return out;
@@ -539,6 +570,8 @@
   std::vector<const fleet::Machine*> machines_;
   std::vector<const wire::Flavor*> flavors_;  // of machines_
   std::vector<Slots> slots_;
+  std::unordered_map<const jobs::Job*, int> tiers_;
+  std::vector<std::vector<Victim>> victims_;  // by machine; empty until somebody asks
   std::set<wire::TaskId> stopped_;
   std::map<std::string, Room> ended_;  // by team: recorded as placed, reported as ended
   double total_cpus_ = 0;
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -80,6 +80,18 @@
             1);
 }
 
+// Whole machines come free only if tasks gather where others run for as long anyway.
+TEST(Duplex, PacksOntoTheMachineThatIsInUseAnyway) {
+  auto machines = Machines({4, 4, 4});
+  machines[1].timeline.Reserve(0, 10, {2, 0, 1});
+  machines[2].timeline.Reserve(0, 100, {1, 0, 1});
+  TaskClass packed = ClassOf(1, 1, {50, 50, 50});
+  packed.pack = true;
+  Map map = Duplex({packed}, machines, 10);
+  ASSERT_EQ(map.assignments.size(), 1u);
+  EXPECT_EQ(map.assignments[0].machine, 2u);
+}
+
 class RoundTest : public testing::Test {
  protected:
   RoundTest() : settings_(SettingsOf()), ledger_(64), roster_({3, 30, 3, 4}) {
@@ -264,6 +276,24 @@
   EXPECT_TRUE(Plan().preemptions.empty());
 }
 
+// Seen on the grown deployments: work that the order puts first was stopped for later work, got the
+// room back in the next round, and was stopped again, a hundred times a second.
+TEST_F(RoundTest, NobodyIsStoppedForWorkThatComesLater) {
+  auto first = Spec("run-1", 4);
+  first.urgency = wire::Urgency::kBestEffort;
+  first.estimate_s = 500;
+  PutJob(ledger_, first, 1);
+  RunOnVm1(4);
+  auto urgent = Spec("run-2", 1);
+  urgent.team = "other";
+  urgent.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, urgent, 99);
+  settings_.teams = {{"team", 0, 0, 0, 0}, {"other", 0, 0, 0, 0}};
+  EXPECT_EQ(Plan().preemptions.size(), 1u);
+  settings_.teams[0].cpus = 4;  // what runs is owed to its team, and has waited for long
+  EXPECT_TRUE(Plan().preemptions.empty());
+}
+
 TEST_F(RoundTest, PredictsFromTheLearnedMeanOnceThereIsOne) {
   PutJob(ledger_, Spec("run-1", 4));
   EXPECT_DOUBLE_EQ(PredictRun(*ledger_.Find("run-1"), "c4"), 10);
