Best-effort work moves up after a quarter of its aim; rounds map what a transaction holds

Now a round looks at as many tasks as one transaction can record (never less than 500), and best-effort work that has waited for patience_ratio of its nearest aim stands beside normal work: it then takes whole machines as they come up.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -207,6 +207,7 @@
       {"silent_ratio", &out.silent_ratio, 2, 100},
       {"idle_ratio", &out.idle_ratio, 0.1, 1000},
       {"headroom", &out.headroom, 0, 10},
+      {"patience_ratio", &out.patience_ratio, 0, 100},
       {"urgent_reserve", &out.urgent_reserve, 0, 0.9},
   };
   std::vector<cfg_opt_t> options;
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -64,7 +64,7 @@
     LeaveNoticed();
     BuildMachines();
     BuildWaiters();
-    size_t left = kOldest, mapped = 0;
+    size_t left = OldestTasks(*context_.settings), mapped = 0;
     bool reserved = false;
     for (size_t i = 0; i < waiters_.size() && left > 0;) {
       size_t j = i;
@@ -226,8 +226,9 @@
   // waited for as long as a machine takes to boot goes before all that is beyond a guarantee: else
   // a swarm of another team's urgent work could keep a team from what it is owed.
   int TierOf(const jobs::Job& job, bool within) const {
-    const int urgency = static_cast<int>(job.spec.urgency);
+    int urgency = static_cast<int>(job.spec.urgency);
     const bool urgent = job.spec.urgency <= wire::Urgency::kUrgent;
+    if (job.spec.urgency == wire::Urgency::kBestEffort && Pressing(job)) --urgency;
     if (within && urgent) return urgency;
     if (Overdue(job, within)) return 2;
     return 3 + 2 * urgency + (within ? 0 : 1);
@@ -237,6 +238,15 @@
     return within && wall_now_ - job.submitted > BootTime();
   }
 
+  // Work of the lowest rank moves up once it has waited for a set part of its aim: a steady stream
+  // of normal work would else starve it. `finished` aims of a lane may be several; the nearest
+  // counts.
+  bool Pressing(const jobs::Job& job) const {
+    const config::Objective* o = context_.settings->FindObjective("finished", job.spec.lane);
+    return o != nullptr &&
+           wall_now_ - job.submitted > context_.operators->patience_ratio * o->within_s;
+  }
+
   // Within a tier: jobs with little left go first, since that ends the most jobs in time; those
   // that can't make their aim any more come after those that can, until they have waited long
   // enough.
@@ -584,6 +594,12 @@
   return wire::FindFlavor(flavors, name);
 }
 
+size_t OldestTasks(const config::Settings& settings) {
+  constexpr size_t kLeast = 500;
+  return std::max(kLeast, store::TasksPerShard(settings.value_kb) *
+                              static_cast<size_t>(std::max(settings.txn_ops, 1)));
+}
+
 double PredictRun(const jobs::Job& job, const std::string& flavor) {
   constexpr double kUntilCancelled = 1e5;
   if (job.spec.shape == wire::Shape::kStanding) return kUntilCancelled;
--- a/src/plan/round.h
+++ b/src/plan/round.h
@@ -50,7 +50,8 @@
   const wire::Flavor* FindFlavor(const std::string& name) const;
 };
 
-inline constexpr size_t kOldest = 500;  // waiting tasks that a round looks at
+// Waiting tasks that a round looks at: what one transaction can record, and never less than 500.
+size_t OldestTasks(const config::Settings& settings);
 
 // `now` is steady, `wall_now` the time of day that submissions are stamped with.
 RoundResult PlanRound(Context& context, const jobs::Ledger& ledger, const fleet::Roster& roster,
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -294,6 +294,20 @@
   EXPECT_TRUE(Plan().preemptions.empty());
 }
 
+// A steady stream of normal work would keep best-effort work out for ever.
+TEST_F(RoundTest, BestEffortWorkMovesUpOnceItHasWaited) {
+  settings_.objectives = {{"finished", "slow", 200, 0.9}};
+  auto low = Spec("run-1", 4), normal = Spec("run-2", 400);
+  low.urgency = wire::Urgency::kBestEffort;
+  low.lane = "slow";
+  PutJob(ledger_, normal, 99);
+  PutJob(ledger_, low, 60);  // has waited 40 s
+  AddMachine("vm-1");
+  EXPECT_EQ(PlacedOf(Plan(), "run-1"), 0u);
+  PutJob(ledger_, low, 40);  // and now 60 s, more than a quarter of its aim
+  EXPECT_EQ(PlacedOf(Plan(), "run-1"), 4u);
+}
+
 TEST_F(RoundTest, PredictsFromTheLearnedMeanOnceThereIsOne) {
   PutJob(ledger_, Spec("run-1", 4));
   EXPECT_DOUBLE_EQ(PredictRun(*ledger_.Find("run-1"), "c4"), 10);
