--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -31,6 +31,10 @@
 
 // Jobs that can't make their aim wait for others until their age is this many times the aim.
 constexpr double kHopelessAims = 3;
+// Room is kept for this many jobs of a prompt lane, of usual size, within the operators' share.
+constexpr double kReserveJobs = 3;
+// Each job that is there moves the usual size by this part, in every round.
+constexpr double kLearnSize = 0.02;
 // Parts of a tier.
 constexpr int kBands = 16;
 
@@ -256,9 +260,14 @@
     const double unit = 10 * context_.settings->report_s;
     int band = std::clamp(static_cast<int>(std::log2(left / unit + 1) / 2), 0, kBands / 2 - 1);
     const double age = wall_now_ - job.submitted;
-    const config::Objective* o = context_.settings->FindObjective("finished", job.spec.lane);
-    const bool late = o != nullptr && age + run > o->within_s;
-    if (late && age < kHopelessAims * o->within_s) band += kBands / 2;
+    // A lane may have several aims: the nearest that can still be met counts.
+    double first = 0, next = 0;
+    for (const config::Objective& o : context_.settings->objectives) {
+      if (o.kind != "finished" || o.lane != job.spec.lane) continue;
+      if (first == 0 || o.within_s < first) first = o.within_s;
+      if (age + run <= o.within_s && (next == 0 || o.within_s < next)) next = o.within_s;
+    }
+    if (first > 0 && next == 0 && age < kHopelessAims * first) band += kBands / 2;
     return band;
   }
 
@@ -275,7 +284,10 @@
     for (const config::Objective& o : context_.settings->objectives) {
       if (o.kind == "wait" && o.lane == job.spec.lane &&
           o.within_s <= kPromptReports * context_.settings->report_s) {
-        context_.prompt_lanes[job.spec.lane] = NeedOf(job.spec);
+        auto [lane, fresh] = context_.prompt_lanes.try_emplace(job.spec.lane);
+        const double tasks = job.spec.tasks;
+        lane->second.need = NeedOf(job.spec);
+        lane->second.tasks += (fresh ? 1 : kLearnSize) * (tasks - lane->second.tasks);
       }
     }
   }
@@ -283,12 +295,12 @@
   // Keeps room for tasks of prompt lanes that are yet to come: who should start at once can't wait
   // for a slot.
   void ReservePrompt() {
-    for (const auto& [lane, need] : context_.prompt_lanes) {
-      if (need.cpus <= 0) continue;
+    for (const auto& [name, lane] : context_.prompt_lanes) {
+      if (lane.need.cpus <= 0) continue;
       TaskClass tc;
-      tc.need = need;
-      tc.count = static_cast<size_t>(
-          std::ceil(context_.operators->urgent_reserve * total_cpus_ / need.cpus));
+      tc.need = lane.need;
+      const double most = context_.operators->urgent_reserve * total_cpus_ / lane.need.cpus;
+      tc.count = static_cast<size_t>(std::ceil(std::min(most, kReserveJobs * lane.tasks)));
       constexpr double kLong = 1e6;
       tc.run_s.assign(machines_.size(), kLong);
       MapTier(Order::kMinMin, {tc}, slots_, tc.count);
--- a/src/plan/round.h
+++ b/src/plan/round.h
@@ -44,8 +44,13 @@
   const config::Settings* settings = nullptr;
   const config::Operator* operators = nullptr;
   std::vector<wire::Flavor> flavors;
-  // Room that a task of a lane takes whose aim is to start at once; learned from its jobs.
-  std::map<std::string, Room> prompt_lanes;
+  // Lanes whose aim is to start at once, with the room that a task takes and the usual size of a
+  // job; learned from their jobs.
+  struct PromptLane {
+    Room need;
+    double tasks = 0;
+  };
+  std::map<std::string, PromptLane> prompt_lanes;
 
   const wire::Flavor* FindFlavor(const std::string& name) const;
 };
