Deaf machines, late copies, refused links: what proves something, and what does not

Now answers that have no effect are counted (token, starts, a lease that ends right after an answer): such a machine gets no new work and is returned; its tasks stay counted until a proof. Not if many are deaf at once: then our answers are late. - A late copy of a report counted as if its answer had renewed the lease. Now it renews no further than the newest report. - While connections between nodes are refused, the followers took the leader for ended and ended its lease: four changes of the lead in 18 s. A refusal now says something only where another peer can be reached.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -83,7 +83,7 @@
   const bool newest = m->tenure == report.tenure && m->tick == report.tick;
   if (newest && CaughtUp()) orders = roster_.Orders(*m, *d_.ledger, false);
   // Counted before the answer goes out: the lease may be renewed from here on.
-  roster_.OnAnswered(report.machine, now);
+  roster_.OnAnswered(report, orders, now);
   return {.status = 200, .body = wire::WriteCheckinAnswer(roster_.token(), orders)};
 }
 
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -15,6 +15,8 @@
 constexpr double kShortReports = 5;
 // A machine that is not up after this many of its usual boot times never will be.
 constexpr double kNeverUp = 4;
+// Deaf machines are returned while they are fewer than this part of all.
+constexpr double kManyDeaf = 0.25;
 // Idle machines kept, as a part of all that report.
 constexpr double kIdleKept = 0.25;
 
@@ -81,11 +83,12 @@
 
 bool Renter::Review(Roster& roster, const jobs::Ledger& ledger, const plan::Context& context,
                     bool wanting, double now) {
-  size_t reported = 0, silent = 0, idle = 0;
+  size_t reported = 0, silent = 0, deaf = 0, idle = 0;
   for (auto& [name, m] : roster.all()) {
     if (!m.reported() || m.returning) continue;
     ++reported;
     if (roster.Silent(m, now)) ++silent;
+    if (roster.Deaf(m, now)) ++deaf;
     const bool busy = !ledger.On(name).empty() || !m.held.empty();
     if (busy) m.idle_since = now;
     if (!busy) ++idle;
@@ -109,6 +112,12 @@
       if (!ours) roster.Return(m, "silent");
       continue;
     }
+    // Where many are deaf at once, the answers are more likely to be late than lost.
+    if (roster.Deaf(m, now) &&
+        static_cast<double>(deaf) < kManyDeaf * static_cast<double>(reported) + 1) {
+      roster.Return(m, "our answers don't reach it");
+      continue;
+    }
     if (Roster::Slow(m) && ledger.On(name).empty()) {
       roster.Return(m, "slow");
       continue;
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -23,6 +23,11 @@
 constexpr size_t kImagesKept = 2000;
 // A job that failed on this many machines and was never done is itself to blame.
 constexpr size_t kBadJobMachines = 3;
+// A machine is deaf once so many answers in a row had no effect...
+constexpr int kDeafAnswers = 3;
+// ...or once its lease has run out within this part of it after an answer. (The lease counts from
+// when the answered report was sent, which may be a few seconds before the answer.)
+constexpr double kDeafLease = 0.75;
 
 }  // namespace
 
@@ -73,6 +78,37 @@
   m.held = std::move(held);
 }
 
+void Roster::CheckHeeded(Machine& m, const wire::Report& r, double now) {
+  if (!m.reported() || m.answered.token != token_) return;
+  auto miss = [&](int n) {
+    if (m.unheeded == 0) m.unheeded_since = now;
+    m.unheeded += n;
+  };
+  if (r.tenure > m.answered.tenure) {
+    // Its lease ran out although we had answered within it.
+    if (now - m.last_answer < kDeafLease * options_.lease_s) miss(kDeafAnswers);
+    return;
+  }
+  auto shown = [&](const wire::TaskId& task) {
+    return std::any_of(r.pieces.begin(), r.pieces.end(),
+                       [&](const wire::Piece& p) { return p.task == task; });
+  };
+  const bool due = m.token < token_ || !m.answered.starts.empty();
+  if (!due) return;
+  const bool heeded =
+      r.token >= token_ && std::all_of(m.answered.starts.begin(), m.answered.starts.end(), shown);
+  if (heeded) {
+    m.unheeded = 0;
+  } else {
+    miss(1);
+  }
+}
+
+bool Roster::Deaf(const Machine& m, double now) const {
+  return m.unheeded >= kDeafAnswers &&
+         (now - m.unheeded_since > options_.lease_s / 3 || m.unheeded > kDeafAnswers);
+}
+
 bool Roster::OnReport(const wire::Report& r, double now, bool direct) {
   auto [known, fresh] = Add(r.machine);
   Machine& m = *known;
@@ -87,6 +123,11 @@
   if (m.reported() && (r.tenure < m.tenure || (r.tenure == m.tenure && r.tick <= m.tick))) {
     return false;
   }
+  if (direct) {
+    m.unheeded = 0;  // commands do reach it
+  } else {
+    CheckHeeded(m, r, now);
+  }
   const bool first = !m.reported();
   const bool moved_on = r.tenure > m.tenure;
   const bool learned = r.token > m.token;
@@ -144,8 +185,19 @@
   return m.slow_samples >= static_cast<int>(kSamples) && m.slowness > kSlow;
 }
 
-void Roster::OnAnswered(const std::string& machine, double now) {
-  if (Machine* m = Find(machine)) m->last_answer = now;
+void Roster::OnAnswered(const wire::Report& r, const std::vector<wire::Order>& orders, double now) {
+  Machine* m = Find(r.machine);
+  if (m == nullptr) return;
+  if (r.tenure != m->tenure || r.tick != m->tick) {
+    // It was sent before the newest one was, which was here by then.
+    m->last_answer = std::max(m->last_answer, m->last_report);
+    return;
+  }
+  m->last_answer = now;
+  m->answered = {token_, m->tenure, {}};
+  for (const wire::Order& o : orders) {
+    if (o.verb == wire::Verb::kRun) m->answered.starts.push_back(o.task);
+  }
 }
 
 void Roster::OnListed(const std::vector<wire::Listed>& list, double asked, double now) {
@@ -393,7 +445,7 @@
 }
 
 bool Roster::Usable(const Machine& m, double now) const {
-  return m.reported() && !m.returning && !Slow(m) && m.token <= token_ &&
+  return m.reported() && !m.returning && !Slow(m) && m.token <= token_ && m.unheeded < 2 &&
          m.reclaim_at == std::numeric_limits<double>::infinity() &&
          now - m.last_report < 1.8 * options_.report_s;
 }
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -57,6 +57,16 @@
   std::map<wire::TaskId, Held> held;
   std::map<wire::TaskId, Sent> sent;
 
+  // What the last answer to a report should have changed, and for how many answers in a row nothing
+  // of the kind was seen: the machine may be deaf to us though we hear it.
+  struct Answered {
+    uint64_t token = 0;
+    uint64_t tenure = 0;
+    std::vector<wire::TaskId> starts;
+  } answered;
+  int unheeded = 0;
+  double unheeded_since = 0;
+
   bool listed = false;
   double first_listed = 0;
   double rented_at = 0;
@@ -98,7 +108,9 @@
   void Learn(const jobs::Ledger& ledger, double now);
   // True if a machine takes so much longer than others that it is better replaced.
   static bool Slow(const Machine& m);
-  void OnAnswered(const std::string& machine, double now);
+  // An answer to `r` goes out. What an answer to a report that is not the newest could renew
+  // reaches no further than the newest one: copies that come late renew nothing.
+  void OnAnswered(const wire::Report& r, const std::vector<wire::Order>& orders, double now);
   // `asked`: when the list was asked for; it came now.
   void OnListed(const std::vector<wire::Listed>& machines, double asked, double now);
   void OnRented(const std::vector<std::string>& names, const wire::Rental& rental, double now);
@@ -130,6 +142,8 @@
   // True if a machine may get new tasks now.
   bool Usable(const Machine& m, double now) const;
   bool Silent(const Machine& m, double now) const;
+  // True if its reports come, but show that our answers don't reach it.
+  bool Deaf(const Machine& m, double now) const;
   // Steady time from which on nothing can run there that was started before; see the .cc file.
   double ExpiresAt(const Machine* m) const;
 
@@ -144,6 +158,7 @@
                 const jobs::Ledger& ledger) const;
   void NoteExit(Machine& m, const wire::TaskId& task, wire::Cause cause);
   void NoteImage(Machine& m, const std::string& image);
+  void CheckHeeded(Machine& m, const wire::Report& r, double now);
   void TakePieces(Machine& m, const wire::Report& r, double now);
 
   const Options options_;
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -46,6 +46,10 @@
   return p.connected && scope_.loop().Now() - p.heard < kFreshBeats * beat();
 }
 
+bool PeerMesh::AnyFresh() const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) { return Fresh(*p); });
+}
+
 bool PeerMesh::AllConfirmOutage() const {
   return !peers_.empty() && std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) {
     return Fresh(*p) && !p->status.state_good;
@@ -101,7 +105,9 @@
       }
       continue;
     }
-    if (error == ECONNREFUSED) hooks_.on_refused(peer->seed.node);
+    // A packet filter refuses as well, and then mostly between all nodes: only where another peer
+    // can be reached does a refusal say something of this one.
+    if (error == ECONNREFUSED && AnyFresh()) hooks_.on_refused(peer->seed.node);
     rt::Sleep pause(scope_, beat());
     co_await pause;
   }
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -61,6 +61,7 @@
   rt::Task<> AcceptLoop(Listener listener);
   rt::Task<> Serve(Stream stream);
   bool Fresh(const Peer& peer) const;
+  bool AnyFresh() const;
   double beat() const;
 
   rt::Scope& scope_;
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -24,8 +24,12 @@
     wire::Report r = ReportOf("vm-1", tenure, tick, token);
     r.pieces = std::move(pieces);
     roster_.OnReport(r, now, false);
-    auto orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, false);
-    roster_.OnAnswered("vm-1", now);
+    const Machine& m = *roster_.Find("vm-1");
+    std::vector<wire::Order> orders;
+    if (m.tenure == tenure && m.tick == tick) {
+      orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, false);
+    }
+    roster_.OnAnswered(r, orders, now);
     return orders;
   }
 
@@ -135,6 +139,65 @@
   EXPECT_TRUE(Freed(82));
 }
 
+// Copies of a report that come again and again, for longer than a lease, renew nothing: the worker
+// behind them may be long gone.
+TEST_F(RosterTest, LateCopiesRenewNothingAndBringNothingBack) {
+  const auto runs = PieceOf("run-1", 0, 1, wire::PieceState::kRunning);
+  Checkin(1, 5, kToken, 50, {runs});
+  for (double t = 52; t < 81; t += 2) Checkin(1, 4, kToken, t, {runs});
+  EXPECT_FALSE(Freed(80));
+  EXPECT_TRUE(Freed(82));
+  EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 82)) << "no new work for a silent machine";
+  // Its task went elsewhere, and the session has moved on: a copy from before undoes neither.
+  Place(ledger_, "run-1", 0, 2, "vm-2");
+  Checkin(2, 9, kToken, 83);
+  auto orders = Checkin(1, 6, kToken, 140, {runs});
+  EXPECT_TRUE(orders.empty());
+  EXPECT_EQ(roster_.Find("vm-1")->tenure, 2u);
+  EXPECT_TRUE(roster_.Find("vm-1")->held.empty());
+}
+
+// After a restart the leader knows no machine: a copy from an earlier session comes first. Under
+// another token than ours it is no proof of anything, and the true report replaces it.
+TEST_F(RosterTest, ALateCopyToARestartedLeaderProvesNothing) {
+  Cancel();
+  Checkin(1, 40, kToken - 1, 20);
+  EXPECT_FALSE(Freed(21));
+  Checkin(3, 90, kToken - 1, 22, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  EXPECT_FALSE(Freed(23)) << "it runs in the newer session";
+  Checkin(1, 41, kToken - 1, 24);
+  EXPECT_EQ(roster_.Find("vm-1")->held.size(), 1u);
+}
+
+// Seen from reports alone: the token that every answer brings never shows.
+TEST_F(RosterTest, AMachineThatHearsNothingGetsNoWorkAndItsTasksStayCounted) {
+  for (int i = 1; i <= 5; ++i) Checkin(1, static_cast<uint64_t>(i), 0, 3 * i);
+  EXPECT_TRUE(roster_.Deaf(*roster_.Find("vm-1"), 15));
+  EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 15));
+  EXPECT_FALSE(Freed(15)) << "nothing proves that the former leader's order was not executed";
+  roster_.OnReturned("vm-1");
+  EXPECT_TRUE(Freed(16));
+}
+
+TEST_F(RosterTest, AMachineThatNeverShowsItsOrdersIsDeaf) {
+  Checkin(1, 1, kToken, 3);
+  EXPECT_TRUE(roster_.Usable(*roster_.Find("vm-1"), 3));
+  for (int i = 2; i <= 6; ++i) Checkin(1, static_cast<uint64_t>(i), kToken, 3 * i);
+  EXPECT_TRUE(roster_.Deaf(*roster_.Find("vm-1"), 18));
+  // One that shows them late is not.
+  Checkin(1, 7, kToken, 21, {PieceOf("run-1", 0, 1, wire::PieceState::kFetching)});
+  EXPECT_FALSE(roster_.Deaf(*roster_.Find("vm-1"), 21));
+}
+
+TEST_F(RosterTest, AMachineWhoseLeaseEndsThoughItWasAnsweredIsDeaf) {
+  const auto runs = PieceOf("run-1", 0, 1, wire::PieceState::kRunning);
+  for (int i = 1; i <= 10; ++i) Checkin(1, static_cast<uint64_t>(i), kToken, 3 * i, {runs});
+  EXPECT_FALSE(roster_.Deaf(*roster_.Find("vm-1"), 30));
+  Checkin(2, 11, kToken, 33);
+  Checkin(2, 12, kToken, 36);
+  EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 36));
+}
+
 TEST_F(RosterTest, AnUnknownMachineWaitsForWhatTheFormerLeaderMayHaveAnswered) {
   EXPECT_FALSE(Freed(39));
   EXPECT_TRUE(Freed(42));
@@ -218,7 +281,7 @@
   Place(ledger_, "run-2", 4, 1, "vm-1");
   Place(ledger_, "run-2", 5, 1, "vm-1");
   Checkin(1, 1, kToken, 0);
-  std::vector<wire::Piece> pieces;
+  std::vector<wire::Piece> pieces = {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)};
   for (uint32_t i : {3u, 4u, 5u}) {
     pieces.push_back(PieceOf("run-2", i, 1, wire::PieceState::kRunning));
   }
