What has waited for 150 s without a start comes first, within a quarter of the processors

Cause, by reading: the order (urgency, then little work left, hopeless jobs last) could keep a class or a class's largest jobs out for as long as heavier or smaller work kept coming.

Now the operators' starve_s bounds it: jobs that have not begun by then (begun ones after twice as long) come before all others, oldest first, with starve_share of the processors.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -208,6 +208,8 @@
       {"idle_ratio", &out.idle_ratio, 0.1, 1000},
       {"headroom", &out.headroom, 0, 10},
       {"patience_ratio", &out.patience_ratio, 0, 100},
+      {"starve_s", &out.starve_s, 1, 1e6},
+      {"starve_share", &out.starve_share, 0, 1},
       {"urgent_reserve", &out.urgent_reserve, 0, 0.9},
   };
   std::vector<cfg_opt_t> options;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -68,7 +68,9 @@
   double idle_ratio = 6.0;        // an idle machine is returned after this many readyS
   double headroom = 1.0;          // machines kept beyond what runs and waits
   double patience_ratio = 0.25;   // best-effort work moves up after this part of its aim
-  double urgent_reserve = 0.08;   // share of all processors kept for prod and urgent work
+  double starve_s = 150;         // work that has not begun by then comes first, within starve_share
+  double starve_share = 0.25;    // share of all processors that work which waited so long may take
+  double urgent_reserve = 0.08;  // share of all processors kept for prod and urgent work
 };
 
 // How soon a change on a machine is known and answered: workers tell of changes between their
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -35,6 +35,9 @@
 constexpr double kReserveJobs = 3;
 // Each job that is there moves the usual size by this part, in every round.
 constexpr double kLearnSize = 0.02;
+// Before all tiers.
+constexpr int kStarvedTier = -1;
+constexpr double kLeastCpus = 0.01;
 // Parts of a tier.
 constexpr int kBands = 16;
 
@@ -205,7 +208,12 @@
       const int tier = TierOf(*job, within);
       tiers_[job] = tier;
       if (job->waiting() == 0) continue;
-      waiters_.push_back({job, within, tier * kBands + Band(*job), job->waiting()});
+      Waiter w{job, within, tier * kBands + Band(*job), job->waiting()};
+      if (const size_t first = StarvedTasks(*job); first > 0) {
+        w.tier = kStarvedTier;
+        w.count = std::min(w.count, first);
+      }
+      waiters_.push_back(w);
     }
     std::stable_sort(waiters_.begin(), waiters_.end(),
                      [](const Waiter& a, const Waiter& b) { return a.tier < b.tier; });
@@ -238,6 +246,25 @@
     return 3 + 2 * urgency + (within ? 0 : 1);
   }
 
+  // Whatever the order says, a steady stream of heavier, smaller or more urgent work must not keep
+  // a job out for ever: once it has waited for the operators' bound, the oldest such jobs come
+  // first, with a set share of the processors. How many tasks of the job do; 0: it has its usual
+  // place.
+  size_t StarvedTasks(const jobs::Job& job) {
+    const bool begun = job.done() + job.placed() > 0;
+    const double bound = (begun ? 2 : 1) * context_.operators->starve_s;
+    if (wall_now_ - job.submitted < bound) return 0;
+    const double need = std::max(job.spec.cpus, kLeastCpus);
+    const double room = context_.operators->starve_share * total_cpus_ - starved_cpus_ -
+                        static_cast<double>(job.placed()) * need;
+    // One task at least, if nobody has had one ahead of its turn yet: small sites are served, too.
+    const size_t least = starved_cpus_ == 0 && !begun ? 1 : 0;
+    const size_t tasks = std::max(least, static_cast<size_t>(std::max(0.0, room / need)));
+    const size_t used = job.placed() + std::min<size_t>(tasks, job.waiting());
+    starved_cpus_ += static_cast<double>(used) * need;
+    return tasks;
+  }
+
   bool Overdue(const jobs::Job& job, bool within) const {
     return within && wall_now_ - job.submitted > BootTime();
   }
@@ -597,6 +624,7 @@
   std::set<wire::TaskId> stopped_;
   std::map<std::string, Room> ended_;  // by team: recorded as placed, reported as ended
   double total_cpus_ = 0;
+  double starved_cpus_ = 0;  // of work that has waited beyond the bound, oldest first
   RoundResult result_;
 };
 
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -294,6 +294,25 @@
   EXPECT_TRUE(Plan().preemptions.empty());
 }
 
+// Nothing starves: not the largest job behind a stream of small ones, not a class behind an urgent
+// one. Begun work waits for its turn, and the share of the processors is bounded.
+TEST_F(RoundTest, WhatHasWaitedTooLongBeginsWhateverTheOrderSays) {
+  auto large = Spec("run-1", 900), urgent = Spec("run-2", 40), small = Spec("run-3", 2);
+  urgent.urgency = wire::Urgency::kUrgent;
+  operators_.starve_s = 60;
+  PutJob(ledger_, large, 50);  // has waited 50 s
+  PutJob(ledger_, urgent, 99);
+  PutJob(ledger_, small, 99);
+  for (const char* vm : {"vm-1", "vm-2"}) AddMachine(vm);
+  EXPECT_EQ(PlacedOf(Plan(), "run-1"), 0u);
+  PutJob(ledger_, large, 39);  // and now 61 s
+  EXPECT_EQ(PlacedOf(Plan(), "run-1"), 2u) << "a quarter of 8 processors";
+  Place(ledger_, "run-1", 0, 1, "vm-9");
+  EXPECT_EQ(PlacedOf(Plan(), "run-1"), 0u) << "it has begun";
+  PutJob(ledger_, large, -21);  // 121 s
+  EXPECT_EQ(PlacedOf(Plan(), "run-1"), 1u);
+}
+
 // A steady stream of normal work would keep best-effort work out for ever.
 TEST_F(RoundTest, BestEffortWorkMovesUpOnceItHasWaited) {
   settings_.objectives = {{"finished", "slow", 200, 0.9}};
