Writes of a round give way to urgent work that has come meanwhile

Now what is left of a round's other writes is decided anew as soon as there is urgent work that no round has seen.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -47,6 +47,7 @@
   context_.flavors = *d_.flavors;
   told_.clear();
   to_tell_.clear();
+  urgent_came_ = false;
   wants_.clear();
   flavors_at_ = -1;
   work_waits_ = true;  // what the former leader left undone
@@ -64,6 +65,7 @@
       }
     }
   }
+  if (job != nullptr && job->spec.urgency <= wire::Urgency::kUrgent) urgent_came_ = true;
   work_waits_ = true;
   work_.Notify();
 }
@@ -116,6 +118,7 @@
     if (fenced) roster_.SetToken(d_.leadership->token());
   }
   const double begin = term.loop().Now();
+  urgent_came_ = false;
   roster_.Learn(*d_.ledger, begin);
   std::vector<jobs::Mutation> mutations = roster_.Collect(*d_.ledger, begin);
   std::map<std::string, int> requeued;
@@ -155,9 +158,10 @@
   auto txns = jobs::BuildTxns(*d_.ledger, mutations, limits, stamp);
   const double begin = term.loop().Now();
   for (jobs::Txn& t : txns) {
-    // What the budget has no room for now is decided anew, with what has come in meanwhile.
+    // What the budget has no room for now is decided anew, with what has come in meanwhile; so is
+    // all the rest once there is urgent work that could go before it.
     const double left = begin + d_.operators->round_s - term.loop().Now();
-    if (left <= 0) {
+    if (left <= 0 || (urgent_came_ && t.rank > jobs::Rank::kEnd)) {
       work_waits_ = true;
       co_return;
     }
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -69,6 +69,7 @@
   rt::Scope* term_ = nullptr;
   rt::Event work_;
   bool work_waits_ = false;
+  bool urgent_came_ = false;       // prod or urgent work that no round has seen yet
   std::set<std::string> told_;     // machines with a direct command under way
   std::set<std::string> to_tell_;  // and those that need another one after it
   std::vector<plan::Want> wants_;
