Tests take ports below those that the system hands out

Cause: with other connections on the machine, a test's port was now and then taken (a connection of another process had it), and the test failed.

--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -132,12 +132,14 @@
     co_return false;
   }
 
-  static int NextBase() {
-    static int base = 20000 + (getpid() * 256) % 40000;
-    return base += 64;
+  static int Base() {
+    // Below the ports that the system hands out to connections, and of this process alone among
+    // those that run at a time.
+    static int base = 10000 + getpid() % 340 * 64;
+    return base;
   }
 
-  const int base_ = NextBase();
+  const int base_ = Base();
   rt::Loop loop_;
   rt::Scope scope_;
   rt::Scope idle_{loop_};
