Kept command connections bounded; a cut-off leader is tested; unread aims are named

Cause, by reading: a connection was kept for each of 2,180 machines, and those of machines that were gone stayed open: 4,400 of 5,000 sockets, 2,100 of 2,500, and more with every wave of spot machines. Now a tenth of the sockets is kept for commands, and endpoints give up theirs in turn.

New test: a leader without the state service and its peers, but with its workers, answers these for its bound, then 503; takes no job and tells nothing; gives way on its return; nothing starts twice. Kinds of aims that change nothing here are named in the log.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -23,6 +23,8 @@
 constexpr size_t kReturnsPerCall = 100;
 // Who hears too few workers leaves the lead to another for this part of their lease.
 constexpr double kResignRatio = 1.0;
+// Connections for direct commands that are kept, as a part of this machine's sockets.
+constexpr double kCommandSockets = 0.1;
 constexpr size_t kMaxWorkerBody = 256 * 1024;
 constexpr size_t kMaxCloudBody = 1024 * 1024;
 
@@ -33,7 +35,7 @@
       roster_({d_.settings->report_s, d_.settings->lease_s, d_.settings->list_lag_s,
                d_.operators->silent_ratio}),
       renter_(*d_.settings, *d_.operators),
-      workers_(1, kMaxWorkerBody),
+      workers_(1, kMaxWorkerBody, static_cast<size_t>(kCommandSockets * d_.settings->max_sockets)),
       cloud_(2, kMaxCloudBody),
       cloud_budget_(d_.settings->cloud_rps * 0.8, 2.0, 0) {
   context_.settings = d_.settings;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -1,6 +1,7 @@
 #include "config/settings.h"
 
 #include <confuse.h>
+#include <spdlog/spdlog.h>
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -163,6 +164,10 @@
     s.objectives.push_back({r.Text(t, where, "kind"), t["class"].value_or(std::string()),
                             r.Number(t, where, "within_s", 0, 0.0),
                             r.Number(t, where, "share", 0, 0.0)});
+    const std::string& kind = s.objectives.back().kind;
+    if (kind != "finished" && kind != "wait") {
+      spdlog::info("settings: {}: aims of kind \"{}\" change nothing here", where, kind);
+    }
   });
   const toml::table& workers = r.Table("params.workers");
   s.report_s = r.Number(workers, "params.workers.", "report_s", 0.01);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,14 +4,38 @@
 
 std::optional<Stream> HttpClient::TakeIdle(const std::string& endpoint) {
   auto it = idle_.find(endpoint);
-  while (it != idle_.end() && !it->second.empty()) {
+  while (it != idle_.end()) {
     Stream s = std::move(it->second.back());
     it->second.pop_back();
+    --all_;
+    if (it->second.empty()) {
+      idle_.erase(it);
+      it = idle_.end();
+    }
     if (!s.Stale()) return s;
   }
   return std::nullopt;
 }
 
+void HttpClient::Keep(const std::string& endpoint, Stream stream) {
+  if (max_all_ == 0) return;
+  // Endpoints come and go by the thousand: what is kept for them is bounded, and they give up their
+  // connections in turn.
+  if (all_ >= max_all_) {
+    auto it = idle_.upper_bound(turn_);
+    if (it == idle_.end()) it = idle_.begin();
+    turn_ = it->first;
+    it->second.pop_back();
+    --all_;
+    if (it->second.empty()) idle_.erase(it);
+  }
+  auto& pool = idle_[endpoint];
+  if (pool.size() < max_idle_) {
+    pool.push_back(std::move(stream));
+    ++all_;
+  }
+}
+
 rt::Task<std::optional<wire::HttpResponse>> HttpClient::Call(rt::Scope& scope, std::string endpoint,
                                                              wire::HttpRequest request,
                                                              double timeout_s, bool repeatable) {
@@ -39,8 +63,7 @@
     }
     if (state == wire::HttpParser::State::kDone) {
       wire::HttpResponse response = parser.TakeResponse();
-      auto& pool = idle_[endpoint];
-      if (response.keep_alive && pool.size() < max_idle_) pool.push_back(std::move(*stream));
+      if (response.keep_alive) Keep(endpoint, std::move(*stream));
       co_return response;
     }
     bool again = kept && repeatable && !parser.started() && scope.loop().Now() < deadline;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,8 +13,11 @@
 
 class HttpClient {
  public:
-  // `max_idle` connections are kept per endpoint; `max_body` bounds what an answer may hold.
-  HttpClient(size_t max_idle, size_t max_body) : max_idle_(max_idle), max_body_(max_body) {}
+  // `max_idle` connections are kept per endpoint, and `max_all` in all; `max_body` bounds what an
+  // answer may hold.
+  HttpClient(size_t max_idle, size_t max_body, size_t max_all = 64)
+      : max_idle_(max_idle), max_body_(max_body), max_all_(max_all) {}
+  size_t idle() const { return all_; }
 
   // Nothing means that no answer came in time: the request may have been executed, or may yet be.
   // A call that finds its kept connection closed is sent again only if `repeatable`.
@@ -24,10 +27,14 @@
 
  private:
   std::optional<Stream> TakeIdle(const std::string& endpoint);
+  void Keep(const std::string& endpoint, Stream stream);
 
   const size_t max_idle_;
   const size_t max_body_;
-  std::map<std::string, std::vector<Stream>> idle_;
+  const size_t max_all_;
+  std::map<std::string, std::vector<Stream>> idle_;  // no empty entries
+  size_t all_ = 0;
+  std::string turn_;  // the endpoint that gave one up last
 };
 
 }  // namespace hallpier::net
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -59,7 +59,15 @@
       if (j != i) s.seeds.push_back({"node-" + std::to_string(j), "a", At(2 * j + 1)});
     }
     s.size = count;
-    s.state = At(20);
+    s.state = i == apart_ ? At(22) : At(20);
+    // The node that stands apart has no links to the others, nor they to it.
+    if (i == apart_) {
+      for (auto& seed : s.seeds) seed.endpoint = At(23);
+    } else {
+      for (auto& seed : s.seeds) {
+        if (seed.node == "node-" + std::to_string(apart_)) seed.endpoint = At(23);
+      }
+    }
     s.cloud = At(21);
     s.report_s = kReport;
     s.lease_s = 3;
@@ -79,13 +87,20 @@
     }
     options.report_s = kReport;
     options.lease_s = 3;
-    options.run_s = 0.3;
+    options.run_s = run_s_;
     options.first_port = base_ + 30;
     state_ = std::make_unique<standins::State>(scope_);
     cloud_ = std::make_unique<standins::Cloud>(scope_, options);
     ASSERT_TRUE(state_->Listen(At(20), &error)) << error;
+    ASSERT_TRUE(state_->ListenApart(At(22), &error)) << error;
     ASSERT_TRUE(cloud_->Listen(At(21), &error)) << error;
-    for (int i = 0; i < count; ++i) {
+    // The one that stands apart is alone at first, so that it leads.
+    StartNodes(0, apart_ >= 0 ? 1 : count, count);
+  }
+
+  void StartNodes(int first, int end, int count) {
+    std::string error;
+    for (int i = first; i < end; ++i) {
       nodes_.push_back(
           std::make_unique<app::Controller>(loop_, NodeSettings(i, count), config::Operator()));
       ASSERT_TRUE(nodes_.back()->Start(&error)) << error;
@@ -150,6 +165,8 @@
   std::vector<std::unique_ptr<app::Controller>> nodes_;
   bool finished_ = false;
   double state_rps_ = 2000;
+  double run_s_ = 0.3;
+  int apart_ = -1;
 };
 
 rt::Task<> RunsAJob(EndToEnd* t, rt::Task<bool> submitted, rt::Task<bool> done) {
@@ -277,5 +294,80 @@
   EXPECT_EQ(cloud_->started_twice(), 0);
 }
 
+// A leader that has lost the state service and the other controllers, but not its workers: it
+// answers these within its bound and nobody else, its successor starts nothing twice, and once it
+// is back it gives way and tells what has become of everything.
+class ApartTest : public EndToEnd {
+ public:
+  ApartTest() {
+    apart_ = 0;
+    run_s_ = 1;
+  }
+
+  static std::string Report(uint64_t tick) {
+    return R"({"host":"vm-x","endpoint":"127.0.0.1:1","flavor":"c4","hall":"a","lendable":false,)"
+           R"("tenure":1,"tick":)" +
+           std::to_string(tick) + R"(,"epoch":0,"reclaimS":null,"pieces":[]})";
+  }
+
+  rt::Task<> Apart() {
+    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
+    EXPECT_TRUE(ok);
+    StartNodes(1, 3, 3);
+    ok = co_await Until(0, "POST", "/submissions", Body(Spec("run-6", 40)), 201, "", 10);
+    EXPECT_TRUE(ok);
+    ok = co_await Until(0, "GET", "/submissions/run-6", "", 200, "running", 10);
+    EXPECT_TRUE(ok);
+    state_->Cut(true);
+    const double cut = loop_.Now();
+    rt::Sleep pause(scope_, 0.3);
+    co_await pause;
+    wire::HttpResponse r = co_await Ask(0, "POST", "/submissions", Body(Spec("run-7", 1)));
+    EXPECT_EQ(r.status, 503) << "it can record nothing";
+    EXPECT_GT(r.retry_after_s, 0);
+    r = co_await Ask(0, "GET", "/submissions/run-6");
+    EXPECT_EQ(r.status, 503) << "what it knows may be old";
+    // Half of the workers' lease of 3 s, counted from its last renewal, and no more.
+    ok = co_await Until(0, "POST", "/checkin", Report(2), 503, "not entitled", 3);
+    EXPECT_TRUE(ok);
+    EXPECT_LT(loop_.Now() - cut, 1.5 + 0.5);
+    ok = co_await Until(1, "GET", "/submissions/run-6", "", 200, "\"done\",\"done\":40", 30);
+    EXPECT_TRUE(ok);
+    state_->Cut(false);
+    ok = co_await Until(0, "GET", "/submissions/run-6", "", 200, "\"done\",\"done\":40", 10);
+    EXPECT_TRUE(ok);
+    ok = co_await Until(0, "POST", "/checkin", Report(3), 421, "node-", 5);
+    EXPECT_TRUE(ok) << "it names its successor";
+  }
+};
+
+TEST_F(ApartTest, ALeaderThatIsCutOffGivesWayAndNothingStartsTwice) {
+  Start(3);
+  Run(Apart());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
+// Machines come and go by the thousand; what is kept open to them must not use up the sockets.
+class PoolTest : public EndToEnd {
+ public:
+  rt::Task<> Calls() {
+    net::HttpClient bounded(1, 1 << 20, 2);
+    for (int round = 0; round < 2; ++round) {
+      for (int node = 0; node < 3; ++node) {
+        wire::HttpRequest q{.method = "GET", .target = "/ready", .body = ""};
+        auto r = co_await bounded.Call(scope_, At(2 * node), std::move(q), 2, true);
+        EXPECT_TRUE(r.has_value());
+        EXPECT_LE(bounded.idle(), 2u);
+      }
+    }
+    EXPECT_EQ(bounded.idle(), 2u);
+  }
+};
+
+TEST_F(PoolTest, KeepsABoundedNumberOfConnectionsInAll) {
+  Start(3);
+  Run(Calls());
+}
+
 }  // namespace
 }  // namespace hallpier
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -45,7 +45,8 @@
 
 State::State(rt::Scope& scope)
     : scope_(scope),
-      server_(scope, kLimits, [this](wire::HttpRequest r) { return Handle(std::move(r)); }) {
+      server_(scope, kLimits, [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
+      apart_(scope, kLimits, [this](wire::HttpRequest r) { return HandleApart(std::move(r)); }) {
   scope_.Spawn(ExpireLoop());
 }
 
@@ -189,6 +190,13 @@
   }
 }
 
+rt::Task<wire::HttpResponse> State::HandleApart(wire::HttpRequest r) {
+  if (cut_) co_return Answer(503, "{}");
+  wire::HttpResponse answer = co_await Handle(std::move(r));
+  if (cut_) co_return Answer(503, "{}");  // a watch that was open when the cut began
+  co_return answer;
+}
+
 rt::Task<wire::HttpResponse> State::Handle(wire::HttpRequest r) {
   if (outage_) co_return Answer(503, "{}");
   const std::string path(r.path());
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -22,6 +22,11 @@
   bool Listen(const std::string& address, std::string* error) {
     return server_.Listen(address, error);
   }
+  // A second way in, for one controller alone, that Cut() closes and opens.
+  bool ListenApart(const std::string& address, std::string* error) {
+    return apart_.Listen(address, error);
+  }
+  void Cut(bool on) { cut_ = on; }
   // With an outage every request is refused, and no lease ends.
   void SetOutage(bool on);
   uint64_t writes() const { return revision_; }
@@ -37,6 +42,7 @@
     double until = 0;
   };
   rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
+  rt::Task<wire::HttpResponse> HandleApart(wire::HttpRequest request);
   rt::Task<wire::HttpResponse> Follow(std::string target);
   wire::HttpResponse Txn(const std::string& body);
   wire::HttpResponse List(const std::string& target) const;
@@ -47,6 +53,8 @@
 
   rt::Scope& scope_;
   net::HttpServer server_;
+  net::HttpServer apart_;
+  bool cut_ = false;
   std::map<std::string, Key> keys_;
   std::map<uint64_t, Hold> holds_;
   std::vector<wire::Change> changes_;
