Nothing is returned as silent while most are quiet, or may be with a former leader

With it: a refused connection counts only after a link that broke, once for each. The test of a cut-off leader had shown a live node losing the lead again and again to peers that had never reached it.

--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -67,7 +67,7 @@
   double silent_ratio = 3.0;      // a machine is given up after this many report_s in silence
   double idle_ratio = 6.0;        // an idle machine is returned after this many readyS
   double headroom = 1.0;          // machines kept beyond what runs and waits
-  double patience_ratio = 0.25;   // best-effort work moves up after this part of its aim
+  double patience_ratio = 0.32;   // best-effort work moves up after this part of its aim
   double starve_s = 150;         // work that has not begun by then comes first, within starve_share
   double starve_share = 0.25;    // share of all processors that work which waited so long may take
   double urgent_reserve = 0.08;  // share of all processors kept for prod and urgent work
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -17,6 +17,9 @@
 constexpr double kNeverUp = 4;
 // Deaf machines are returned while they are fewer than this part of all.
 constexpr double kManyDeaf = 0.25;
+// A machine is quiet that has not been heard for this many report periods: a report may be late by
+// a quarter of a period, and an answer slow.
+constexpr double kQuiet = 1.5;
 // Idle machines kept, as a part of all that report.
 constexpr double kIdleKept = 0.25;
 
@@ -83,17 +86,21 @@
 
 bool Renter::Review(Roster& roster, const jobs::Ledger& ledger, const plan::Context& context,
                     bool wanting, double now) {
-  size_t reported = 0, silent = 0, deaf = 0, idle = 0;
+  size_t reported = 0, silent = 0, quiet = 0, deaf = 0, idle = 0;
   for (auto& [name, m] : roster.all()) {
     if (!m.reported() || m.returning) continue;
     ++reported;
     if (roster.Silent(m, now)) ++silent;
+    if (roster.Unheard(m, now) > kQuiet) ++quiet;
     if (roster.Deaf(m, now)) ++deaf;
     const bool busy = !ledger.On(name).empty() || !m.held.empty();
     if (busy) m.idle_since = now;
     if (!busy) ++idle;
   }
   const bool ours = reported >= 3 && 2 * silent > reported;
+  // The first to be silent are not returned while most others have missed a report as well: it
+  // takes a few reports more until it is plain that the fault is ours.
+  const bool many_quiet = reported >= 3 && 2 * quiet > reported;
   auto kept = static_cast<size_t>(std::ceil(kIdleKept * static_cast<double>(reported)));
   for (auto& [name, m] : roster.all()) {
     if (m.returning) continue;
@@ -103,13 +110,13 @@
       // Its age alone says nothing: a machine that reported to the leader before us is old, too.
       if (m.booting && now - m.rented_at > kNeverUp * f->ready_s + settings_.list_lag_s) {
         roster.Return(m, "never came up");
-      } else if (!m.booting && roster.Silent(m, now)) {
+      } else if (!m.booting && !many_quiet && roster.Silent(m, now)) {
         roster.Return(m, "up, but never reported");
       }
       continue;
     }
     if (roster.Silent(m, now)) {
-      if (!ours) roster.Return(m, "silent");
+      if (!many_quiet) roster.Return(m, "silent");
       continue;
     }
     // Where many are deaf at once, the answers are more likely to be late than lost.
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -437,11 +437,16 @@
   return last + options_.lease_s * (1 + kDrift) + options_.report_s / 3;
 }
 
+double Roster::Unheard(const Machine& m, double now) const {
+  // A machine that is up finds the leader within a few reports; before that nobody is silent. Who
+  // has not found us yet may be with the former leader, for as long as that one may answer.
+  if (m.booting) return 0;
+  const double since = m.reported() ? term_start_ : std::max(term_start_, others_until_);
+  return (now - std::max({m.last_report, since, m.up_seen})) / options_.report_s;
+}
+
 bool Roster::Silent(const Machine& m, double now) const {
-  // A machine that is up finds the leader within a few reports; before that nobody is silent.
-  if (m.booting) return false;
-  return now - std::max({m.last_report, term_start_, m.up_seen}) >
-         options_.silent_ratio * options_.report_s;
+  return Unheard(m, now) > options_.silent_ratio;
 }
 
 bool Roster::Usable(const Machine& m, double now) const {
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -142,6 +142,8 @@
   // True if a machine may get new tasks now.
   bool Usable(const Machine& m, double now) const;
   bool Silent(const Machine& m, double now) const;
+  // For how many report periods nothing has been heard of a machine that is up.
+  double Unheard(const Machine& m, double now) const;
   // True if its reports come, but show that our answers don't reach it.
   bool Deaf(const Machine& m, double now) const;
   // Steady time from which on nothing can run there that was started before; see the .cc file.
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -97,6 +97,7 @@
       scope_.Spawn(WriteLoop(peer, shared, open));
       co_await ReadLoop(peer, shared, open);
       peer->connected = false;
+      peer->broke = true;
       peer->wake.Notify();
       spdlog::info("peer {}: link down", peer->seed.node);
       for (auto& [id, pending] : peer->pending) {
@@ -107,7 +108,12 @@
     }
     // A packet filter refuses as well, and then mostly between all nodes: only where another peer
     // can be reached does a refusal say something of this one.
-    if (error == ECONNREFUSED && AnyFresh()) hooks_.on_refused(peer->seed.node);
+    // Nor is it one if there was no link that broke, and it is told only once for a link: else a
+    // live node behind a filter would lose the lead again and again.
+    if (error == ECONNREFUSED && peer->broke && AnyFresh()) {
+      peer->broke = false;
+      hooks_.on_refused(peer->seed.node);
+    }
     rt::Sleep pause(scope_, beat());
     co_await pause;
   }
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -48,7 +48,8 @@
   struct Peer {
     config::Seed seed;
     bool connected = false;
-    double heard = -1;  // steady time of the last status
+    bool broke = false;  // there was a link, and nobody has been told of its end
+    double heard = -1;   // steady time of the last status
     wire::PeerStatus status;
     std::string outbox;  // frames to be written
     rt::Event wake;
--- /dev/null
+++ b/tests/renter_test.cc
@@ -0,0 +1,73 @@
+// Which machines are given up, and when the fault is more likely ours.
+#include "fleet/renter.h"
+
+#include <gtest/gtest.h>
+
+#include "fixtures.h"
+
+namespace hallpier::fleet {
+namespace {
+
+using namespace testing_support;
+
+class RenterTest : public testing::Test {
+ protected:
+  RenterTest() : settings_(SettingsOf()), ledger_(64), roster_({3, 30, 3, 3}) {
+    context_.settings = &settings_;
+    context_.operators = &operators_;
+    context_.flavors = {FlavorOf("c4", 4)};
+  }
+  void Hear(int vm, uint64_t tick, double now) {
+    roster_.OnReport(ReportOf("vm-" + std::to_string(vm), 1, tick, 7), now, false);
+  }
+  bool Review(double now) { return renter_.Review(roster_, ledger_, context_, true, now); }
+  int Returning() {
+    int n = 0;
+    for (const auto& [name, m] : roster_.all()) n += m.returning ? 1 : 0;
+    return n;
+  }
+
+  config::Settings settings_;
+  config::Operator operators_;
+  jobs::Ledger ledger_;
+  Roster roster_;
+  Renter renter_{settings_, operators_};
+  plan::Context context_;
+};
+
+// Two recorded days: a leader lost its workers, and returned one machine after the other until at
+// last more than half of them had been silent for long enough to say that the fault was its own.
+TEST_F(RenterTest, ALeaderThatLosesItsWorkersReturnsNoneOfThem) {
+  roster_.BeginTerm(7, 0, 0);
+  for (int vm = 0; vm < 10; ++vm) Hear(vm, 1, 50 + 0.3 * vm);
+  bool heard = true;
+  for (double now = 53; heard && now < 80; now += 0.5) heard = Review(now);
+  EXPECT_FALSE(heard) << "it gives up the lead";
+  EXPECT_EQ(Returning(), 0);
+}
+
+TEST_F(RenterTest, AMachineThatIsSilentWhileOthersReportIsReturned) {
+  roster_.BeginTerm(7, 0, 0);
+  for (uint64_t tick = 1; tick <= 6; ++tick) {
+    const double now = 50 + 3 * static_cast<double>(tick);
+    for (int vm = 0; vm < 10; ++vm) {
+      if (vm > 0 || tick == 1) Hear(vm, tick, now);
+    }
+    EXPECT_TRUE(Review(now));
+  }
+  EXPECT_EQ(Returning(), 1);
+}
+
+// After a takeover the former leader may answer its workers for a while, and they stay with it.
+TEST_F(RenterTest, WorkersThatAreStillWithTheFormerLeaderAreNotSilent) {
+  roster_.BeginTerm(7, 100, 115);
+  wire::Listed l{"vm-1", "127.0.0.1:1", "c4", "a", false, wire::RentalState::kRunning, 90};
+  roster_.OnListed({l}, 100, 100);
+  Review(120);
+  EXPECT_EQ(Returning(), 0);
+  Review(125);
+  EXPECT_EQ(Returning(), 1);
+}
+
+}  // namespace
+}  // namespace hallpier::fleet
