--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -407,7 +407,8 @@
         continue;
       }
       auto& list = numbers[a.task_class];
-      if (list.empty()) list = ledger_.Waiting(*w.job, w.count);
+      // Never more than the map holds: a job may have 100,000 tasks waiting.
+      if (list.empty()) list = ledger_.Waiting(*w.job, map.assignments.size());
       jobs::Mutation m;
       m.kind = jobs::Mutation::Kind::kPlace;
       m.task = {w.job->spec.id, list.at(started[a.task_class]++)};
@@ -419,7 +420,7 @@
       const Waiter& w = waiters_[begin + c];
       const size_t unmet = w.count - started[c] - later[c];
       if (unmet > 0) AddWant(w, unmet);
-      laters[c].resize(w.count - started[c]);
+      laters[c].resize(std::min(w.count - started[c], OldestTasks(*context_.settings)));
       Preempt(w, classes[c], std::move(laters[c]));
     }
     return map.assignments.size();
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -294,6 +294,20 @@
   EXPECT_TRUE(Plan().preemptions.empty());
 }
 
+// The protocol allows a job of 100,000 tasks: a round looks at what it can place, and wants no more
+// than that for it.
+TEST_F(RoundTest, AHugeJobIsPlacedInPieces) {
+  auto huge = Spec("run-1", 100000);
+  huge.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, huge, 99);
+  for (int i = 0; i < 50; ++i) AddMachine("vm-" + std::to_string(i));
+  auto r = Plan();
+  EXPECT_EQ(PlacedOf(r, "run-1"), 200u);
+  EXPECT_EQ(r.places.front().task.index, 0u);
+  EXPECT_EQ(r.places.back().task.index, 199u);
+  EXPECT_EQ(r.waiting, 100000u);
+}
+
 // Nothing starves: not the largest job behind a stream of small ones, not a class behind an urgent
 // one. Begun work waits for its turn, and the share of the processors is bounded.
 TEST_F(RoundTest, WhatHasWaitedTooLongBeginsWhateverTheOrderSays) {
