Tests: nodes that are back at once, and a crowd after a restart of all nodes

Controllers are ended and started anew within milliseconds, six times over and in mid-election: the job is done and nothing starts twice.

--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <map>
 #include <set>
 
 #include "app/controller.h"
@@ -107,6 +108,20 @@
     }
   }
 
+  // Ends the newest process of a node and starts another at once, with the same settings.
+  rt::Task<> Restart(int node, int count) {
+    const size_t old = newest_.contains(node) ? newest_[node] : static_cast<size_t>(node);
+    bool down = false;
+    ended_.insert(old);
+    nodes_[old]->Shutdown([&down] { down = true; });
+    while (!down) {
+      rt::Sleep turn(scope_, 0.005);
+      co_await turn;
+    }
+    newest_[node] = nodes_.size();
+    StartNodes(node, node + 1, count);
+  }
+
   // Runs the test's own routine, then everything's orderly end.
   void Run(rt::Task<> script) {
     scope_.Spawn(Script(std::move(script)));
@@ -159,6 +174,7 @@
   rt::Scope scope_;
   rt::Scope idle_{loop_};
   std::set<size_t> ended_;
+  std::map<int, size_t> newest_;  // of nodes that were restarted: where in nodes_
   net::HttpClient client_;
   std::unique_ptr<standins::State> state_;
   std::unique_ptr<standins::Cloud> cloud_;
@@ -258,9 +274,28 @@
       co_await turn;
     }
     EXPECT_EQ(answered_, 3 * kJobs);
+    // And once more right after a restart of all nodes, by users who ask until they are answered.
+    for (int node = 0; node < 3; ++node) co_await Restart(node, 3);
+    for (int i = 0; i < kJobs; ++i) {
+      for (int node = 0; node < 3; ++node) {
+        scope_.Spawn(AskAgain(node, "/submissions/run-" + std::to_string(100 + i)));
+      }
+    }
+    const double last = loop_.Now() + 20;
+    while (again_ < 3 * kJobs && loop_.Now() < last) {
+      rt::Sleep turn(scope_, 0.05);
+      co_await turn;
+    }
+    EXPECT_EQ(again_, 3 * kJobs);
+  }
+
+  rt::Task<> AskAgain(int node, std::string target) {
+    bool ok = co_await Until(node, "GET", target, "", 200, "phase", 20);
+    if (ok) ++again_;
   }
 
  private:
+  int again_ = 0;
   int asked_ = 0;
   int answered_ = 0;
 };
@@ -291,6 +326,28 @@
   }
 };
 
+// A process may be back within a fraction of a second, also while the others elect a leader.
+class BackAtOnceTest : public EndToEnd {
+ public:
+  rt::Task<> Back() {
+    bool ok = co_await Until(1, "POST", "/submissions", Body(Spec("run-8", 120)), 201, "", 10);
+    EXPECT_TRUE(ok);
+    for (int node : {0, 1, 0, 2, 2, 1}) {
+      co_await Restart(node, 3);
+      rt::Sleep pause(scope_, 0.03);
+      co_await pause;
+    }
+    ok = co_await Until(2, "GET", "/submissions/run-8", "", 200, "\"done\",\"done\":120", 30);
+    EXPECT_TRUE(ok);
+  }
+};
+
+TEST_F(BackAtOnceTest, NothingIsLostAndNothingStartsTwice) {
+  Start(3);
+  Run(Back());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
 TEST_F(CrashTest, OneNodeOfThreeCarriesOn) {
   Start(3);
   Run(Crash());
