Clean-up: final states from one place, names set once, nothing looked up twice

Found on a last reading of the change, behaviour as it was: two look-ups began with the same search of the remembered final states; a machine's name was set by each of three callers of Add(); a plan looked up a machine's placements for every task it held, and its type again for every task that waits; a set of groups was filled for each changed job and never read.

--- a/src/api/user_api.cc
+++ b/src/api/user_api.cc
@@ -22,9 +22,13 @@
 
 }  // namespace
 
-const store::FinalRecord* UserApi::Remembered(const std::string& id) const {
-  auto it = finals_.find(id);
-  return it == finals_.end() ? nullptr : &it->second;
+UserApi::Found UserApi::FromMemory(const std::string& id) const {
+  Found out;
+  if (auto it = finals_.find(id); it != finals_.end()) {
+    out.kind = Found::Kind::kFinal;
+    out.final_record = it->second;
+  }
+  return out;
 }
 
 void UserApi::Remember(const std::string& id, const store::FinalRecord& r) {
@@ -37,12 +41,8 @@
 }
 
 rt::Task<UserApi::Found> UserApi::Lookup(std::string id) {
-  Found out;
-  if (const auto* r = Remembered(id)) {
-    out.kind = Found::Kind::kFinal;
-    out.final_record = *r;
-    co_return out;
-  }
+  Found out = FromMemory(id);
+  if (out.kind == Found::Kind::kFinal) co_return out;
   // In this order: a job moves from active to final, never back.
   auto active = co_await d_.client->Get(store::JobKey(id));
   if (active.ok()) {
@@ -74,12 +74,8 @@
 }
 
 rt::Task<UserApi::Found> UserApi::LookupShared(std::string id) {
-  Found out;
-  if (const auto* r = Remembered(id)) {
-    out.kind = Found::Kind::kFinal;
-    out.final_record = *r;
-    co_return out;
-  }
+  Found out = FromMemory(id);
+  if (out.kind == Found::Kind::kFinal) co_return out;
   const bool fresh = co_await d_.barrier->Reached();
   if (!fresh) {
     out = co_await Lookup(std::move(id));
@@ -154,7 +150,7 @@
   }
   if (d_.flavors->empty()) co_return NotNow("machine types are not known yet");
   const std::string id = spec->id;
-  if (Remembered(id) == nullptr && d_.ledger->Find(id) == nullptr) {
+  if (!finals_.contains(id) && d_.ledger->Find(id) == nullptr) {
     store::JobRecord record;
     record.spec = std::move(*spec);
     record.submitted = d_.time_of_day();
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -49,7 +49,8 @@
   rt::Task<Found> LookupShared(std::string id);
   rt::Task<Found> LookupFinal(std::string id);
   wire::HttpResponse Status(const std::string& id, const Found& found) const;
-  const store::FinalRecord* Remembered(const std::string& id) const;
+  // A final state that is known here; of kind kUnknown if there is none.
+  Found FromMemory(const std::string& id) const;
   void Remember(const std::string& id, const store::FinalRecord& r);
   // Why the job can never run; nothing if it can.
   std::optional<wire::BadField> NeverRuns(const wire::JobSpec& spec) const;
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -46,7 +46,10 @@
 
 std::pair<Machine*, bool> Roster::Add(const std::string& name) {
   auto [it, fresh] = index_.try_emplace(name, nullptr);
-  if (fresh) it->second = &machines_.try_emplace(name).first->second;
+  if (fresh) {
+    it->second = &machines_.try_emplace(name).first->second;
+    it->second->name = name;
+  }
   return {it->second, fresh};
 }
 
@@ -113,7 +116,6 @@
   auto [known, fresh] = Add(r.machine);
   Machine& m = *known;
   if (fresh) {
-    m.name = r.machine;
     m.rented_at = now;
     m.idle_since = now;
     // A late report, or a machine that a late rental request brought back: return it once more.
@@ -209,7 +211,6 @@
     auto [known, fresh] = Add(l.machine);
     Machine& m = *known;
     if (fresh || !m.reported()) {
-      m.name = l.machine;
       m.endpoint = l.endpoint;
       m.flavor = l.flavor;
       m.zone = l.zone;
@@ -247,7 +248,6 @@
     auto [known, fresh] = Add(name);
     if (!fresh) continue;
     Machine& m = *known;
-    m.name = name;
     m.flavor = rental.flavor;
     m.zone = rental.zone;
     m.spot = rental.spot;
--- a/src/jobs/batch.cc
+++ b/src/jobs/batch.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
 namespace hallpier::jobs {
 namespace {
@@ -66,8 +65,6 @@
     const uint32_t placed = Sum(job, changed, [](const store::Shard& s) { return s.placed(); });
     const bool over = !job.cancelled && done == job.spec.tasks;
     const bool ended = over || (job.cancelled && placed == 0);
-    std::set<uint32_t> numbers;
-    for (const auto& [number, shard] : job.shards()) numbers.insert(number);
     const size_t room = static_cast<size_t>(limits_.ops) - 2;
     const bool one_txn = changed.shards.size() <= room;
     if (ended && one_txn) {
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -147,7 +147,8 @@
         const double ready = m.rented_at + f->ready_s - now_;
         releases.emplace_back(std::max(ready, context_.settings->report_s), capacity);
       }
-      for (const auto& [task, attempt] : ledger_.On(name)) {
+      const auto& placements = ledger_.On(name);
+      for (const auto& [task, attempt] : placements) {
         const jobs::Job* job = ledger_.Find(task.job);
         if (job == nullptr) continue;
         const Room need = NeedOf(job->spec);
@@ -163,9 +164,9 @@
       }
       for (const auto& [task, held] : m.held) {
         // What runs there without being recorded there is being stopped.
-        const bool recorded = ledger_.On(name).contains(task);
+        if (placements.contains(task) || held.state == wire::PieceState::kExited) continue;
         const jobs::Job* job = ledger_.Find(task.job);
-        if (recorded || job == nullptr || held.state == wire::PieceState::kExited) continue;
+        if (job == nullptr) continue;
         free -= NeedOf(job->spec);
         releases.emplace_back(Reaction(), NeedOf(job->spec));
       }
@@ -400,9 +401,8 @@
     for (const Assignment& a : map.assignments) {
       const Waiter& w = waiters_[begin + a.task_class];
       if (a.start > kNow) {
-        const wire::Flavor* f = context_.FindFlavor(machines_[a.machine]->flavor);
         const bool coming = !machines_[a.machine]->reported();
-        if (coming || a.start < kWorthRenting * f->ready_s) ++later[a.task_class];
+        if (coming || a.start < kWorthRenting * flavors_[a.machine]->ready_s) ++later[a.task_class];
         laters[a.task_class].push_back({a.start, a.start + a.run_s});
         continue;
       }
