Sockets in shares, commands in turns; what was asked before a standstill is no word of now

Now: workers and users have shares of the connections and may borrow; who is silent for three report periods gives way; commands take turns within 0.08 of the sockets, and who did not answer one hears the next in the answer to its report; a status counts from when it was asked for; a lease that ran out without a failed renewal is verified before anybody is answered; requests of closed connections are dropped; returns ask for the entitlement.

After a standstill of a minute the table still fills: senders that gave up wait in the kernel's queue.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -7,11 +7,15 @@
 namespace hallpier::app {
 namespace {
 
+constexpr std::string_view kCheckin = "/checkin";
+constexpr std::string_view kReady = "/ready";
 constexpr size_t kMaxRequestBody = 64 * 1024;
 // The largest answer of the state service that is read, as a part of this machine's memory.
 constexpr double kBodyShare = 1.0 / 8;
-// Connections that a node takes in, as a part of its sockets; the rest is for its own calls.
-constexpr double kServerSockets = 0.8;
+// Connections that a node takes in, as parts of its sockets. Direct commands have a part of their
+// own (Duties); the rest is for calls to the state service, the cloud and the other nodes.
+constexpr double kWorkerSockets = 0.74;
+constexpr double kUserSockets = 0.14;
 constexpr double kStateTimeoutS = 1.0;
 // Polls wait for the warm copy no longer than this; there must be time left to read for themselves.
 constexpr double kBarrierS = 0.6 * kStateTimeoutS;
@@ -32,6 +36,22 @@
   return o;
 }
 
+// Neither a crowd of users nor one of workers keeps the other, or the health checks, from a node.
+net::HttpServer::Limits ServerLimits(const config::Settings& s) {
+  const auto workers = static_cast<size_t>(s.max_sockets * kWorkerSockets);
+  const auto users = static_cast<size_t>(s.max_sockets * kUserSockets);
+  net::HttpServer::Limits limits;
+  limits.max_connections = workers + users;
+  limits.max_body = kMaxRequestBody;
+  // A worker that says nothing for as long has lost its lease; users ask far more often.
+  limits.idle_s = s.lease_s;
+  limits.request_s = s.report_s * 3;
+  limits.quiet_s = s.report_s * 3;
+  limits.shares = {{[](const wire::HttpRequest& r) { return r.path() == kCheckin; }, workers},
+                   {[](const wire::HttpRequest& r) { return r.path() != kReady; }, users}};
+  return limits;
+}
+
 }  // namespace
 
 Controller::Controller(rt::Loop& loop, config::Settings settings, config::Operator operators)
@@ -49,9 +69,7 @@
                TimeOfDay}),
       barrier_(root_, client_, replica_, kBarrierS),
       users_({&settings_, &client_, &replica_, &barrier_, &ledger_, &flavors_, TimeOfDay}),
-      server_(root_,
-              {static_cast<size_t>(settings_.max_sockets * kServerSockets), kMaxRequestBody,
-               settings_.lease_s * 4, settings_.report_s * 3},
+      server_(root_, ServerLimits(settings_),
               [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
       peers_(root_, settings_,
              {[this] { return Status(); },
@@ -149,10 +167,10 @@
   constexpr std::string_view kJobs = "/submissions";
   constexpr std::string_view kWithdraw = "/withdraw";
   bool known = false;
-  if (path == "/checkin") {
+  if (path == kCheckin) {
     if (post) co_return Checkin(request.body);
     known = true;
-  } else if (path == "/ready") {
+  } else if (path == kReady) {
     if (get) {
       const bool ready = Ready();
       co_return wire::HttpResponse{.status = ready ? 200 : 503, .body = "{}"};
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -23,8 +23,8 @@
 constexpr size_t kReturnsPerCall = 100;
 // Who hears too few workers leaves the lead to another for this part of their lease.
 constexpr double kResignRatio = 1.0;
-// Connections for direct commands that are kept, as a part of this machine's sockets.
-constexpr double kCommandSockets = 0.1;
+// Connections for direct commands, in use and kept, as a part of this machine's sockets.
+constexpr double kCommandSockets = 0.08;
 constexpr size_t kMaxWorkerBody = 256 * 1024;
 constexpr size_t kMaxCloudBody = 1024 * 1024;
 
@@ -35,7 +35,9 @@
       roster_({d_.settings->report_s, d_.settings->lease_s, d_.settings->list_lag_s,
                d_.operators->silent_ratio}),
       renter_(*d_.settings, *d_.operators),
-      workers_(1, kMaxWorkerBody, static_cast<size_t>(kCommandSockets * d_.settings->max_sockets)),
+      most_told_(
+          std::max<size_t>(1, static_cast<size_t>(kCommandSockets * d_.settings->max_sockets))),
+      workers_(1, kMaxWorkerBody, most_told_),
       cloud_(2, kMaxCloudBody),
       cloud_budget_(d_.settings->cloud_rps * 0.8, 2.0, 0) {
   context_.settings = d_.settings;
@@ -49,6 +51,7 @@
   context_.flavors = *d_.flavors;
   told_.clear();
   to_tell_.clear();
+  tell_queue_.clear();
   urgent_came_ = false;
   wants_.clear();
   flavors_at_ = -1;
@@ -200,23 +203,31 @@
 }
 
 void Duties::Tell(rt::Scope& term, const std::string& machine) {
-  if (!told_.insert(machine).second) {
+  if (told_.contains(machine)) {
     to_tell_.insert(machine);
-    return;
+  } else if (told_.size() < most_told_) {
+    told_.insert(machine);
+    term.Spawn(TellLoop(term, machine));
+  } else if (to_tell_.insert(machine).second) {
+    // A round may have orders for every machine there is: their commands take turns, or they would
+    // take the sockets that workers and users come in by.
+    tell_queue_.push_back(machine);
   }
-  term.Spawn(TellLoop(term, machine));
 }
 
 rt::Task<> Duties::TellLoop(rt::Scope& term, std::string machine) {
   do {
     to_tell_.erase(machine);
     fleet::Machine* m = roster_.Find(machine);
-    if (m == nullptr || m->endpoint.empty() || !m->reported() || !d_.leadership->Entitled() ||
-        !CaughtUp()) {
+    // Who did not answer the last one hears the next in the answer to its report: hanging machines
+    // would else hold the connections that others wait for.
+    if (m == nullptr || m->endpoint.empty() || !m->reported() || m->mute ||
+        !d_.leadership->Entitled() || !CaughtUp()) {
       break;
     }
     const uint64_t token = roster_.token();
     auto orders = roster_.Orders(*m, *d_.ledger, true);
+    if (orders.empty() && m->token == token) break;  // its report has fetched them meanwhile
     wire::HttpRequest q{.method = "POST",
                         .target = "/commands",
                         .body = wire::WriteCommands(token, m->tenure, orders)};
@@ -234,6 +245,11 @@
     roster_.FinishDirect(machine, orders, token, answered);
   } while (!term.cancelled() && to_tell_.contains(machine));
   told_.erase(machine);
+  while (!term.cancelled() && !tell_queue_.empty() && told_.size() < most_told_) {
+    const std::string next = std::move(tell_queue_.front());
+    tell_queue_.pop_front();
+    if (to_tell_.erase(next) > 0) Tell(term, next);
+  }
 }
 
 rt::Task<std::optional<wire::HttpResponse>> Duties::CallCloud(rt::Scope& term,
@@ -347,7 +363,8 @@
     if (!m.returning || names.size() >= kReturnsPerCall) continue;
     names.push_back(name);
   }
-  if (names.empty()) co_return;
+  // A former leader's judgement must not take machines from its successor.
+  if (names.empty() || !d_.leadership->Entitled()) co_return;
   wire::HttpRequest q{
       .method = "POST", .target = "/rentals/return", .body = wire::WriteReturn(names)};
   auto r = co_await CallCloud(term, std::move(q));
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -1,6 +1,7 @@
 // What only the leader does: rounds, commits, orders to workers, renting.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <set>
 #include <string>
@@ -63,15 +64,17 @@
   fleet::Roster roster_;
   fleet::Renter renter_;
   plan::Context context_;
+  const size_t most_told_;  // direct commands at a time
   net::HttpClient workers_;
   net::HttpClient cloud_;
   store::Budget cloud_budget_;
   rt::Scope* term_ = nullptr;
   rt::Event work_;
   bool work_waits_ = false;
-  bool urgent_came_ = false;       // prod or urgent work that no round has seen yet
-  std::set<std::string> told_;     // machines with a direct command under way
-  std::set<std::string> to_tell_;  // and those that need another one after it
+  bool urgent_came_ = false;            // prod or urgent work that no round has seen yet
+  std::set<std::string> told_;          // machines with a direct command under way
+  std::set<std::string> to_tell_;       // and those that need one after it, or once there is room
+  std::deque<std::string> tell_queue_;  // of these, those that have none under way, oldest first
   std::vector<plan::Want> wants_;
   uint64_t term_began_ = 0;
   double round_took_ = 0;
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -141,6 +141,7 @@
   m.tick = r.tick;
   m.token = r.token;
   m.booting = false;
+  m.mute = false;
   m.last_report = now;
   if (!direct) {
     m.checkin_tick = r.tick;
@@ -389,6 +390,7 @@
                           uint64_t token, bool answered) {
   Machine* m = Find(machine);
   if (m == nullptr) return;
+  m->mute = !answered;
   for (const wire::Order& o : orders) {
     auto s = m->sent.find(o.task);
     if (o.verb != wire::Verb::kRun || s == m->sent.end() || s->second.token != token) continue;
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -67,6 +67,8 @@
   int unheeded = 0;
   double unheeded_since = 0;
 
+  bool mute = false;  // did not answer the last direct command, and has not reported since
+
   bool listed = false;
   double first_listed = 0;
   double rented_at = 0;
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -28,6 +28,11 @@
   // lease's end; that carries running tasks through an outage.
   const double blind = operators_.blind_ratio * settings_.lease_s;
   if (!leading() || lost_) return false;
+  // A lease that ran out though no renewal has failed: this process stood still, or is far behind.
+  // Others may have led since, and the first renewal tells whether they did; until then nobody is
+  // answered on the strength of what was so before.
+  const double verified = std::max(ttl(), ttl() / kRenewals + 2 * client_.timeout_s());
+  if (!doubted_ && scope_.loop().Now() > last_renewed_ + verified) return false;
   if (scope_.loop().Now() < last_renewed_ + blind) return true;
   // Beyond that only while every other node says at this moment that nobody can have followed us. A
   // majority would not do: the node that is missing may be the one that leads.
@@ -110,6 +115,7 @@
   permit_ = permit.value;
   token_ = r.value.revision;
   lost_ = false;
+  doubted_ = false;
   last_renewed_ = asked;
   replica_.Apply(store::LeaderKey(), leader, token_);
   replica_.Apply(store::BlockKey(0), block, token_);
@@ -128,6 +134,7 @@
     const double asked = scope_.loop().Now();
     if (asked - last_renewed_ < ttl() / kRenewals * 0.9) continue;
     auto r = co_await client_.Extend(permit_);
+    doubted_ = !r.ok();
     if (r.ok()) {
       last_renewed_ = asked;
     } else if (r.status == store::Status::kNotFound || r.status == store::Status::kInvalid) {
--- a/src/lead/leadership.h
+++ b/src/lead/leadership.h
@@ -70,6 +70,7 @@
   uint64_t suspected_permit_ = 0;
   std::function<bool()> outage_confirmed_;
   bool lost_ = false;
+  bool doubted_ = false;  // a renewal has failed since the last that did not
   bool fencing_ = false;
   rt::Event wake_;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,18 +17,20 @@
   return std::nullopt;
 }
 
+void HttpClient::GiveUpOne() {
+  auto it = idle_.upper_bound(turn_);
+  if (it == idle_.end()) it = idle_.begin();
+  turn_ = it->first;
+  it->second.pop_back();
+  --all_;
+  if (it->second.empty()) idle_.erase(it);
+}
+
 void HttpClient::Keep(const std::string& endpoint, Stream stream) {
-  if (max_all_ == 0) return;
   // Endpoints come and go by the thousand: what is kept for them is bounded, and they give up their
   // connections in turn.
-  if (all_ >= max_all_) {
-    auto it = idle_.upper_bound(turn_);
-    if (it == idle_.end()) it = idle_.begin();
-    turn_ = it->first;
-    it->second.pop_back();
-    --all_;
-    if (it->second.empty()) idle_.erase(it);
-  }
+  while (all_ > 0 && all_ + busy_ > max_all_) GiveUpOne();
+  if (busy_ > max_all_) return;
   auto& pool = idle_[endpoint];
   if (pool.size() < max_idle_) {
     pool.push_back(std::move(stream));
@@ -41,6 +43,12 @@
                                                              double timeout_s, bool repeatable) {
   const double deadline = scope.loop().Now() + timeout_s;
   const std::string bytes = wire::Serialize(request, endpoint);
+  struct Busy {
+    explicit Busy(size_t* n) : n(n) { ++*n; }
+    ~Busy() { --*n; }
+    size_t* n;
+  };
+  Busy busy(&busy_);
   for (int attempt = 0; attempt < 2; ++attempt) {
     std::optional<Stream> stream;
     if (attempt == 0) stream = TakeIdle(endpoint);
@@ -48,6 +56,7 @@
     if (!kept) {
       auto to = ParseAddress(endpoint);
       if (!to) co_return std::nullopt;
+      if (all_ > 0 && all_ + busy_ > max_all_) GiveUpOne();
       stream = co_await Stream::Connect(scope, *to, deadline);
       if (!stream) co_return std::nullopt;
     }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,6 +1,11 @@
 #include "net/http_server.h"
 
+#include <optional>
+
 namespace hallpier::net {
+namespace {
+constexpr size_t kSlack = 32;
+}  // namespace
 
 bool HttpServer::Listen(const std::string& address, std::string* error) {
   auto at = ParseAddress(address);
@@ -14,31 +19,86 @@
   return true;
 }
 
+struct HttpServer::Connection {
+  explicit Connection(Stream s) : stream(std::move(s)) {}
+  Stream stream;
+  double heard = 0;                           // of its last request, or when it came
+  bool busy = false;                          // a request of it is under way
+  bool listed = false;                        // in by_silence_, and counted in its share
+  std::optional<size_t> share;                // nothing before its first request
+  std::list<Connection*>::iterator position;  // in by_silence_
+};
+
+void HttpServer::Remove(Connection& c) {
+  if (!c.listed) return;
+  c.listed = false;
+  by_silence_.erase(c.position);
+  if (c.share) --used_[*c.share];
+}
+
+bool HttpServer::MakeRoom() {
+  const double since = scope_.loop().Now() - limits_.quiet_s;
+  for (Connection* c : by_silence_) {
+    if (c->busy) continue;
+    // Machines that died never close their connections; and who is beyond its share asks again.
+    const bool beyond = c->share && used_[*c->share] > limits_.shares[*c->share].most;
+    if (c->heard > since && !beyond) continue;
+    // Its routine finds the stream ended and ends as well; its place is free at once.
+    c->stream.Shutdown();
+    Remove(*c);
+    return true;
+  }
+  return false;
+}
+
+bool HttpServer::Admit(Connection& c, const wire::HttpRequest& request) {
+  if (!c.listed) return true;  // was given up while its request came in: answered, then closed
+  for (size_t i = 0; i < limits_.shares.size(); ++i) {
+    if (!limits_.shares[i].takes(request)) continue;
+    if (c.share == i) return true;
+    if (connections() > limits_.max_connections && !MakeRoom() &&
+        used_[i] >= limits_.shares[i].most) {
+      return false;
+    }
+    if (c.share) --used_[*c.share];
+    c.share = i;
+    ++used_[i];
+    return true;
+  }
+  return true;
+}
+
 rt::Task<> HttpServer::AcceptLoop(Listener listener) {
+  // A few more may come in than there is room for: their first request tells whose share they are
+  // of, and who can't be taken is told so. Beyond that they are closed at once and go elsewhere.
+  const size_t most = limits_.max_connections + limits_.max_connections / kSlack + 1;
   while (!scope_.cancelled()) {
     std::optional<Stream> stream = co_await listener.Accept(scope_);
     if (!stream) {
       // Out of sockets: those in use must end before another can be taken.
+      MakeRoom();
       rt::Sleep pause(scope_, limits_.request_s / 50);
       co_await pause;
       continue;
     }
-    // Over the bound the connection is closed at once: who sent it goes to another node.
-    if (connections_ < limits_.max_connections) scope_.Spawn(Serve(std::move(*stream)));
+    if (connections() < most || MakeRoom()) scope_.Spawn(Serve(std::move(*stream)));
   }
 }
 
 rt::Task<> HttpServer::Serve(Stream stream) {
-  ++connections_;
+  Connection c(std::move(stream));
+  c.heard = scope_.loop().Now();
+  c.position = by_silence_.insert(by_silence_.end(), &c);
+  c.listed = true;
   wire::HttpParser parser(wire::HttpParser::Kind::kRequest, limits_.max_body);
   bool open = true;
-  double deadline = scope_.loop().Now() + limits_.idle_s;
+  double deadline = c.heard + limits_.idle_s;
   bool started = false;
   while (open) {
     auto state = parser.Parse();
     if (state == wire::HttpParser::State::kMore) {
       std::string data;
-      open = co_await stream.Read(scope_, data, deadline);
+      open = co_await c.stream.Read(scope_, data, deadline);
       if (open && !started) {
         started = true;
         deadline = scope_.loop().Now() + limits_.request_s;
@@ -46,6 +106,8 @@
       parser.Feed(data);
       continue;
     }
+    c.heard = scope_.loop().Now();
+    if (c.listed) by_silence_.splice(by_silence_.end(), by_silence_, c.position);
     wire::HttpResponse response;
     if (state == wire::HttpParser::State::kError) {
       response.status = parser.error_status();
@@ -54,17 +116,29 @@
     } else {
       wire::HttpRequest request = parser.TakeRequest();
       const bool keep = request.keep_alive;
-      response = co_await handler_(std::move(request));
+      // Nobody waits for this answer any more. Who stood still, or has fallen behind, finds many
+      // such requests; to take them up would only make the others late as well.
+      if (keep && c.stream.Ended()) break;
+      if (Admit(c, request)) {
+        c.busy = true;
+        response = co_await handler_(std::move(request));
+        c.busy = false;
+      } else {
+        response.status = 503;
+        response.body = R"({"error":"too many connections of this kind"})";
+        response.retry_after_s = 1;
+        response.keep_alive = false;
+      }
       response.keep_alive = response.keep_alive && keep;
     }
     open = response.keep_alive;
     const std::string bytes = wire::Serialize(response);
-    bool written = co_await stream.Write(scope_, bytes, scope_.loop().Now() + limits_.request_s);
+    bool written = co_await c.stream.Write(scope_, bytes, scope_.loop().Now() + limits_.request_s);
     open = open && written;
     started = false;
     deadline = scope_.loop().Now() + limits_.idle_s;
   }
-  --connections_;
+  Remove(c);
 }
 
 }  // namespace hallpier::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <string>
+#include <vector>
 
 #include "net/stream.h"
 #include "wire/http.h"
@@ -12,26 +14,47 @@
 class HttpServer {
  public:
   using Handler = std::function<rt::Task<wire::HttpResponse>(wire::HttpRequest)>;
+  // Whose requests `takes` holds for may always have so many connections, and more while there is
+  // room; what is borrowed so is given back as soon as others need it.
+  struct Share {
+    std::function<bool(const wire::HttpRequest&)> takes;
+    size_t most;
+  };
   struct Limits {
     size_t max_connections;
     size_t max_body;
     double idle_s;     // a connection without a request is closed after this
     double request_s;  // a request must be there this long after its first byte
+    // Who has been silent for so long gives up its connection where there is no room for others.
+    double quiet_s;
+    std::vector<Share> shares = {};  // the first that takes a request counts
   };
 
   HttpServer(rt::Scope& scope, Limits limits, Handler handler)
-      : scope_(scope), limits_(limits), handler_(std::move(handler)) {}
+      : scope_(scope),
+        limits_(std::move(limits)),
+        handler_(std::move(handler)),
+        used_(limits_.shares.size(), 0) {}
 
   bool Listen(const std::string& address, std::string* error);
+  size_t connections() const { return by_silence_.size(); }
 
  private:
+  struct Connection;
   rt::Task<> AcceptLoop(Listener listener);
   rt::Task<> Serve(Stream stream);
+  // False if its share has no room left.
+  bool Admit(Connection& c, const wire::HttpRequest& request);
+  // Ends the connection that has been silent for longest among those that must give way; false if
+  // there is none.
+  bool MakeRoom();
+  void Remove(Connection& c);
 
   rt::Scope& scope_;
   const Limits limits_;
   const Handler handler_;
-  size_t connections_ = 0;
+  std::list<Connection*> by_silence_;  // longest first
+  std::vector<size_t> used_;           // connections by share
 };
 
 }  // namespace hallpier::net
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -94,6 +94,7 @@
       auto open = std::make_shared<bool>(true);
       peer->connected = true;
       peer->outbox.clear();
+      peer->asked.clear();
       scope_.Spawn(WriteLoop(peer, shared, open));
       co_await ReadLoop(peer, shared, open);
       peer->connected = false;
@@ -126,6 +127,7 @@
     const double now = scope_.loop().Now();
     if (now >= next_ping) {
       peer->outbox += wire::Frame(wire::WritePeerMessage(hooks_.status()));
+      peer->asked.push_back(now);
       next_ping = now + beat();
     }
     const std::string out = std::exchange(peer->outbox, {});
@@ -151,7 +153,11 @@
         co_return;
       }
       if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
-        peer->heard = scope_.loop().Now();
+        // Each ping gets one status, in order. It counts from when it was asked for: who stood
+        // still finds old ones in its buffers, and what they say is no longer so.
+        if (peer->asked.empty()) continue;
+        peer->heard = peer->asked.front();
+        peer->asked.pop_front();
         peer->status = *s;
         hooks_.on_status(*s);
       } else if (auto* a = std::get_if<wire::RelayAnswer>(&*m)) {
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -4,6 +4,7 @@
 // other's; relayed requests go the same way.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,8 +49,9 @@
   struct Peer {
     config::Seed seed;
     bool connected = false;
-    bool broke = false;  // there was a link, and nobody has been told of its end
-    double heard = -1;   // steady time of the last status
+    bool broke = false;        // there was a link, and nobody has been told of its end
+    std::deque<double> asked;  // steady times of pings without an answer yet, oldest first
+    double heard = -1;         // when the last status was asked for: it may be as old as that
     wire::PeerStatus status;
     std::string outbox;  // frames to be written
     rt::Event wake;
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -83,6 +83,13 @@
   co_return true;
 }
 
+void Stream::Shutdown() { shutdown(fd_.get(), SHUT_RDWR); }
+
+bool Stream::Ended() const {
+  char c;
+  return recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 bool Stream::Stale() const {
   char c;
   ssize_t n = recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -38,6 +38,10 @@
   // (steady seconds) or when the scope is cancelled.
   rt::Task<bool> Read(rt::Scope& scope, std::string& out, double deadline);
   rt::Task<bool> Write(rt::Scope& scope, std::string_view data, double deadline);
+  // Ends it in both directions; who waits in Read() is told at once.
+  void Shutdown();
+  // True if the peer has closed it and all that it sent has been read.
+  bool Ended() const;
   // True if the peer closed an idle stream, or sent what nobody asked for.
   bool Stale() const;
 
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -68,6 +68,8 @@
 
   // True while the newest calls went unanswered or refused.
   bool down() const { return failures_ >= 2; }
+  // A call without a wait of its own is answered by then, or never.
+  double timeout_s() const { return options_.timeout_s; }
   // Executes a peer's request here, without relaying it any further.
   rt::Task<std::optional<wire::HttpResponse>> Direct(wire::HttpRequest request);
 
--- /dev/null
+++ b/tests/net_test.cc
@@ -0,0 +1,276 @@
+// Connections and links on loopback: shares of the sockets, requests that nobody waits for any
+// more, and what a process finds in its buffers after it stood still.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+#include <thread>
+
+#include "fixtures.h"
+#include "lead/leadership.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/peer_mesh.h"
+#include "standins/standins.h"
+#include "wire/peer.h"
+#include "wire/varint.h"
+
+namespace hallpier {
+namespace {
+
+using namespace testing_support;
+
+class NetTest : public testing::Test {
+ protected:
+  NetTest() : scope_(loop_) {}
+
+  void Run(rt::Task<> script) {
+    rt::Scope own(loop_);
+    own.Spawn(Script(std::move(script)));
+    loop_.Run();
+    scope_.Cancel();
+    own.Spawn(StopOnceJoined());
+    loop_.Run();
+  }
+  rt::Task<> Script(rt::Task<> script) {
+    rt::Task<> owned = std::move(script);
+    co_await owned;
+    loop_.Stop();
+  }
+  rt::Task<> StopOnceJoined() {
+    co_await scope_.Join();
+    loop_.Stop();
+  }
+  rt::Task<> Pause(double s) {
+    rt::Sleep pause(scope_, s);
+    co_await pause;
+  }
+  // As a process does that gets no turn: its clocks run on, and its buffers fill.
+  static void StandStill(double s) {
+    std::this_thread::sleep_for(std::chrono::duration<double>(s));
+  }
+
+  static std::string At(int n) {
+    return "127.0.0.1:" + std::to_string(10000 + getpid() % 340 * 64 + 56 + n);
+  }
+
+  rt::Loop loop_;
+  rt::Scope scope_;
+};
+
+constexpr double kQuiet = 0.2;
+
+class ShareTest : public NetTest {
+ protected:
+  ShareTest() {
+    net::HttpServer::Limits limits{4, 1024, 30, 5, kQuiet};
+    limits.shares = {{[](const wire::HttpRequest& r) { return r.path() == "/a"; }, 2},
+                     {[](const wire::HttpRequest& r) { return r.path() == "/b"; }, 2}};
+    server_.emplace(scope_, limits, [this](wire::HttpRequest r) { return Answer(std::move(r)); });
+    std::string error;
+    EXPECT_TRUE(server_->Listen(At(0), &error)) << error;
+  }
+  rt::Task<wire::HttpResponse> Answer(wire::HttpRequest) {
+    ++handled_;
+    co_return wire::HttpResponse{.status = 200, .body = "{}"};
+  }
+  // A client of its own is a connection of its own.
+  rt::Task<wire::HttpResponse> Ask(net::HttpClient& client, std::string target) {
+    wire::HttpRequest q{.method = "GET", .target = std::move(target), .body = ""};
+    auto r = co_await client.Call(scope_, At(0), std::move(q), 1, false);
+    co_return r.value_or(wire::HttpResponse{.status = 0, .body = ""});
+  }
+
+  std::optional<net::HttpServer> server_;
+  int handled_ = 0;
+};
+
+// A crowd of one kind may use what is free; it gives that back to the other kind, and what it can't
+// have it is refused at once and told when to come back.
+class CrowdOfOneKind : public ShareTest {
+ public:
+  rt::Task<> Script() {
+    std::vector<std::unique_ptr<net::HttpClient>> as, bs;
+    for (int i = 0; i < 5; ++i) as.push_back(std::make_unique<net::HttpClient>(1, 1024));
+    for (int i = 0; i < 2; ++i) bs.push_back(std::make_unique<net::HttpClient>(1, 1024));
+    wire::HttpResponse r;
+    for (int i = 0; i < 4; ++i) {
+      r = co_await Ask(*as[i], "/a");
+      EXPECT_EQ(r.status, 200) << i;
+    }
+    for (int i = 0; i < 2; ++i) {
+      r = co_await Ask(*bs[i], "/b");
+      EXPECT_EQ(r.status, 200) << i;
+    }
+    co_await Pause(0.05);
+    EXPECT_EQ(server_->connections(), 4u);
+    r = co_await Ask(*as[4], "/a");
+    EXPECT_EQ(r.status, 503);
+    EXPECT_GT(r.retry_after_s, 0);
+    r = co_await Ask(*as[3], "/a");
+    EXPECT_EQ(r.status, 200) << "the newest of the crowd kept its place";
+    r = co_await Ask(*bs[0], "/b");
+    EXPECT_EQ(r.status, 200);
+  }
+};
+
+TEST_F(CrowdOfOneKind, DoesNotKeepTheOtherOut) { Run(Script()); }
+
+// Machines that die never close their connections; these must not keep others out for long.
+class DeadConnections : public ShareTest {
+ public:
+  rt::Task<> Script() {
+    net::HttpClient one(1, 1024), two(1, 1024), three(1, 1024), b1(1, 1024), b2(1, 1024);
+    wire::HttpResponse r = co_await Ask(one, "/a");
+    EXPECT_EQ(r.status, 200);
+    r = co_await Ask(two, "/a");
+    EXPECT_EQ(r.status, 200);
+    co_await Pause(1.5 * kQuiet);
+    r = co_await Ask(b1, "/b");
+    EXPECT_EQ(r.status, 200);
+    r = co_await Ask(b2, "/b");
+    EXPECT_EQ(r.status, 200);
+    r = co_await Ask(two, "/a");
+    EXPECT_EQ(r.status, 200);
+    r = co_await Ask(three, "/a");
+    EXPECT_EQ(r.status, 200) << "in place of the first, which has been silent";
+    co_await Pause(0.05);
+    EXPECT_EQ(server_->connections(), 4u);
+    r = co_await Ask(two, "/a");
+    EXPECT_EQ(r.status, 200) << "the one that was heard of keeps its place";
+  }
+};
+
+TEST_F(DeadConnections, MakeRoomForWhoIsThere) { Run(Script()); }
+
+// After a standstill the buffers are full of requests whose senders have long gone elsewhere.
+class GoneClient : public ShareTest {
+ public:
+  rt::Task<> Script() {
+    auto to = net::ParseAddress(At(0));
+    {
+      auto stream = co_await net::Stream::Connect(scope_, *to, loop_.Now() + 1);
+      EXPECT_TRUE(stream.has_value());
+      co_await Pause(0.05);
+      co_await stream->Write(scope_, "GET /a HTTP/1.1\r\n\r\n", loop_.Now() + 1);
+    }
+    StandStill(0.05);
+    co_await Pause(0.1);
+    EXPECT_EQ(handled_, 0) << "its connection is closed: nobody waits for the answer";
+    net::HttpClient there(1, 1024);
+    wire::HttpResponse r = co_await Ask(there, "/a");
+    EXPECT_EQ(r.status, 200);
+    EXPECT_EQ(handled_, 1);
+  }
+};
+
+TEST_F(GoneClient, IsNotServed) { Run(Script()); }
+
+// A peer that said "no state service here" just before this process stood still has said nothing
+// about now: the answer counts from when it was asked for.
+class OldWord : public NetTest {
+ public:
+  rt::Task<> AnswerPings(net::Listener listener) {
+    auto stream = co_await listener.Accept(scope_);
+    if (!stream) co_return;
+    wire::FrameBuffer frames(wire::kMaxPeerFrame);
+    while (!scope_.cancelled()) {
+      std::string data;
+      bool read = co_await stream->Read(scope_, data, loop_.Now() + 5);
+      if (!read) break;
+      frames.Feed(data);
+      std::string out;
+      while (auto payload = frames.Next()) {
+        wire::PeerStatus s;
+        s.node = "node-1";
+        s.state_good = false;
+        out += wire::Frame(wire::WritePeerMessage(s));
+        ++answered_;
+      }
+      if (!out.empty()) co_await stream->Write(scope_, out, loop_.Now() + 1);
+      if (stand_still_s_ > 0) StandStill(std::exchange(stand_still_s_, 0));
+    }
+  }
+  rt::Task<> Script() {
+    std::string error;
+    auto listener = net::Listener::Open(*net::ParseAddress(At(1)), &error);
+    EXPECT_TRUE(listener.has_value()) << error;
+    config::Settings s = SettingsOf();
+    s.node = "node-0";
+    s.report_s = 1.6;  // a beat of 0.2 s
+    s.peer_bind = At(2);
+    s.seeds = {{"node-1", "a", At(1)}};
+    net::PeerMesh mesh(scope_, s,
+                       {[] { return wire::PeerStatus(); },
+                        [](wire::HttpRequest) -> rt::Task<std::optional<wire::HttpResponse>> {
+                          co_return std::nullopt;
+                        },
+                        [](const wire::PeerStatus&) {}, [](const std::string&) {}});
+    EXPECT_TRUE(mesh.Start(&error)) << error;
+    scope_.Spawn(AnswerPings(std::move(*listener)));
+    co_await Pause(0.3);
+    EXPECT_GE(answered_, 1);
+    EXPECT_TRUE(mesh.AllConfirmOutage());
+    const int before = answered_;
+    stand_still_s_ = 0.8;  // four beats; a status is good for three
+    while (answered_ == before) co_await Pause(0.01);
+    // The answer from before the standstill is read now, and is old.
+    EXPECT_FALSE(mesh.AllConfirmOutage());
+    co_await Pause(0.3);
+    EXPECT_TRUE(mesh.AllConfirmOutage()) << "asked anew";
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+  int answered_ = 0;
+  double stand_still_s_ = 0;
+};
+
+TEST_F(OldWord, OfAPeerIsNoWordOfNow) { Run(Script()); }
+
+// A leader that stood still for longer than its lease must not answer a worker before it knows that
+// nobody has led since.
+class StoodStill : public NetTest {
+ public:
+  rt::Task<> Script() {
+    std::string error;
+    standins::State state(scope_);
+    EXPECT_TRUE(state.Listen(At(3), &error)) << error;
+    config::Settings s = SettingsOf();
+    s.node = "node-0";
+    s.report_s = 0.4;  // a lease of 0.2 s
+    s.lease_s = 60;
+    config::Operator operators;
+    store::Client::Options options;
+    options.endpoint = At(3);
+    options.rps = options.write_rps = 1000;
+    options.timeout_s = 0.1;
+    options.max_body = 1 << 20;
+    store::Client client(scope_, options);
+    lead::Leadership* told = nullptr;
+    store::Replica replica(scope_, client, 0.2, [&](const std::string& key, const std::string& v) {
+      if (key == store::LeaderKey()) told->OnRecord(v);
+    });
+    int terms = 0;
+    lead::Leadership lead(scope_, s, operators, client, replica, [&](rt::Scope&) { ++terms; });
+    told = &lead;
+    scope_.Spawn(replica.Run());
+    scope_.Spawn(lead.Run());
+    while (!lead.leading()) co_await Pause(0.01);
+    EXPECT_TRUE(lead.Entitled());
+    const uint64_t token = lead.token();
+    StandStill(0.6);
+    EXPECT_TRUE(lead.leading()) << "it can't know better yet";
+    EXPECT_FALSE(lead.Entitled()) << "and must find out first";
+    while (terms < 2) co_await Pause(0.01);
+    EXPECT_GT(lead.token(), token) << "its lease had ended: it leads anew, or not at all";
+    EXPECT_TRUE(lead.Entitled());
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+};
+
+TEST_F(StoodStill, ALeaderVerifiesItsLeaseFirst) { Run(Script()); }
+
+}  // namespace
+}  // namespace hallpier
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -6,7 +6,7 @@
 namespace hallpier::standins {
 namespace {
 
-const net::HttpServer::Limits kLimits = {1000, 256 * 1024, 600, 10};
+const net::HttpServer::Limits kLimits = {1000, 256 * 1024, 600, 10, 600};
 
 wire::HttpResponse Answer(int status, std::string body) {
   return {.status = status, .body = std::move(body)};
