--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -93,12 +93,12 @@
   wire::HttpParser parser(wire::HttpParser::Kind::kRequest, limits_.max_body);
   bool open = true;
   double deadline = c.heard + limits_.idle_s;
-  bool started = false;
+  bool started = false, answered = false;
   while (open) {
     auto state = parser.Parse();
     if (state == wire::HttpParser::State::kMore) {
       std::string data;
-      open = co_await c.stream.Read(scope_, data, deadline);
+      open = co_await c.stream.Read(scope_, data, deadline, answered && !started);
       if (open && !started) {
         started = true;
         deadline = scope_.loop().Now() + limits_.request_s;
@@ -136,6 +136,7 @@
     bool written = co_await c.stream.Write(scope_, bytes, scope_.loop().Now() + limits_.request_s);
     open = open && written;
     started = false;
+    answered = true;
     deadline = scope_.loop().Now() + limits_.idle_s;
   }
   Remove(c);
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -47,17 +47,20 @@
   if (fd_ >= 0) close(fd_);
 }
 
-rt::Task<bool> Stream::Read(rt::Scope& scope, std::string& out, double deadline) {
+rt::Task<bool> Stream::Read(rt::Scope& scope, std::string& out, double deadline, bool later) {
   // One for all: nothing is kept in it while a routine waits. In the routine itself it would make
   // every idle connection as large.
   static std::array<char, kReadSize> chunk;
   while (true) {
-    ssize_t n = recv(fd_.get(), chunk.data(), chunk.size(), 0);
-    if (n > 0) {
-      out.append(chunk.data(), static_cast<size_t>(n));
-      co_return true;
+    if (!later) {
+      ssize_t n = recv(fd_.get(), chunk.data(), chunk.size(), 0);
+      if (n > 0) {
+        out.append(chunk.data(), static_cast<size_t>(n));
+        co_return true;
+      }
+      if (n == 0 || !WouldBlock(errno)) co_return false;
     }
-    if (n == 0 || !WouldBlock(errno)) co_return false;
+    later = false;
     double left = deadline - scope.loop().Now();
     if (left <= 0) co_return false;
     rt::FdWait wait(scope, fd_.get(), EV_READ, left);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -36,7 +36,8 @@
 
   // Appends what there is to `out`. False at the end of the stream, on errors, at the deadline
   // (steady seconds) or when the scope is cancelled.
-  rt::Task<bool> Read(rt::Scope& scope, std::string& out, double deadline);
+  // `later`: nothing is expected to be there yet, so that a try at once would be in vain.
+  rt::Task<bool> Read(rt::Scope& scope, std::string& out, double deadline, bool later = false);
   rt::Task<bool> Write(rt::Scope& scope, std::string_view data, double deadline);
   // Ends it in both directions; who waits in Read() is told at once.
   void Shutdown();
