A late answer brings no ended job back; a cut zone is not returned in a rush

A job had been cancelled by one node and ended by the leader at once; the watch told the first node of both before its own write was answered, and the answer then put the job back into its copy for good.

Final records are no longer kept in the copy of who wrote them. Tests: LateAnswer.BringsNothingBack, RenterTest.AZoneThatFallsSilentAsAWholeIsNotReturnedInARush.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -182,6 +182,12 @@
       spdlog::info("commit of {} writes failed ({}{})", writes.size(), static_cast<int>(r.status),
                    r.value.failed.empty() ? "" : ", overtaken: " + r.value.failed.front());
       work_waits_ = true;
+      // The watch brings most of it by itself. Were the copy wrong for good, the same write would
+      // fail in every round, and all that comes behind it with it.
+      for (const std::string& key : r.value.failed) {
+        if (key != limits.block_key) co_await d_.replica->Refresh(key);
+        if (term.cancelled()) co_return;
+      }
       co_return;
     }
     for (const auto& line : ends) spdlog::info("{}", line);
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -20,6 +20,9 @@
 // A machine is quiet that has not been heard for this many report periods: a report may be late by
 // a quarter of a period, and an answer slow.
 constexpr double kQuiet = 1.5;
+// Where most machines of a zone fall silent the zone is cut off rather than they are dead: they are
+// returned only after so many leases, since they may be back at any moment.
+constexpr double kCutLeases = 3;
 // Idle machines kept, as a part of all that report.
 constexpr double kIdleKept = 0.25;
 
@@ -87,8 +90,18 @@
 bool Renter::Review(Roster& roster, const jobs::Ledger& ledger, const plan::Context& context,
                     bool wanting, double now) {
   size_t reported = 0, silent = 0, quiet = 0, deaf = 0, idle = 0;
+  struct Zone {
+    size_t up = 0, silent = 0;
+    // A zone that is cut off is back as a whole; till then nobody else could have more of it.
+    bool cut() const { return up >= 3 && 2 * silent > up; }
+  };
+  std::map<std::string, Zone> zones;
   for (auto& [name, m] : roster.all()) {
-    if (!m.reported() || m.returning) continue;
+    if (m.returning || (!m.reported() && m.booting)) continue;
+    Zone& zone = zones[m.zone];
+    ++zone.up;
+    if (roster.Silent(m, now)) ++zone.silent;
+    if (!m.reported()) continue;
     ++reported;
     if (roster.Silent(m, now)) ++silent;
     if (roster.Unheard(m, now) > kQuiet) ++quiet;
@@ -101,6 +114,11 @@
   // The first to be silent are not returned while most others have missed a report as well: it
   // takes a few reports more until it is plain that the fault is ours.
   const bool many_quiet = reported >= 3 && 2 * quiet > reported;
+  auto lost = [&](const Machine& m) {
+    if (many_quiet || !roster.Silent(m, now)) return false;
+    return !zones[m.zone].cut() ||
+           roster.Unheard(m, now) * settings_.report_s > kCutLeases * settings_.lease_s;
+  };
   auto kept = static_cast<size_t>(std::ceil(kIdleKept * static_cast<double>(reported)));
   for (auto& [name, m] : roster.all()) {
     if (m.returning) continue;
@@ -110,13 +128,13 @@
       // Its age alone says nothing: a machine that reported to the leader before us is old, too.
       if (m.booting && now - m.rented_at > kNeverUp * f->ready_s + settings_.list_lag_s) {
         roster.Return(m, "never came up");
-      } else if (!m.booting && !many_quiet && roster.Silent(m, now)) {
+      } else if (lost(m)) {
         roster.Return(m, "up, but never reported");
       }
       continue;
     }
     if (roster.Silent(m, now)) {
-      if (!many_quiet) roster.Return(m, "silent");
+      if (lost(m)) roster.Return(m, "silent");
       continue;
     }
     // Where many are deaf at once, the answers are more likely to be late than lost.
--- a/src/store/replica.cc
+++ b/src/store/replica.cc
@@ -20,6 +20,23 @@
 }
 
 void Replica::Apply(const std::string& key, const std::string& value, uint64_t stamp) {
+  // The watch may have passed this write, and what came after it, while its answer was under way:
+  // a job that was cancelled here and ended by the leader at once would be back for ever.
+  if (stamp > revision_ && key.starts_with(kActive)) Take(key, value, stamp);
+}
+
+rt::Task<> Replica::Refresh(std::string key) {
+  const uint64_t known = Stamp(key);
+  auto now = co_await client_.Get(key, Urgent::kYes);
+  if (now.ok()) {
+    Take(key, now.value.value, now.value.stamp);
+  } else if (now.status == Status::kNotFound && known != 0 && Stamp(key) == known) {
+    // Dropped after it got the stamp that is known here, and before anything else it may get.
+    Take(key, "", known + 1);
+  }
+}
+
+void Replica::Take(const std::string& key, const std::string& value, uint64_t stamp) {
   if (auto it = dropped_.find(key); it != dropped_.end() && stamp <= it->second) return;
   auto known = stamps_.find(key);
   if (known != stamps_.end() && stamp <= known->second) return;
@@ -43,7 +60,7 @@
     // Pages are of different moments: the watch goes on from the first, and repeats do no harm.
     if (first == 0) first = page.value.revision;
     for (const auto& e : page.value.entries) {
-      Apply(e.key, e.value, e.stamp);
+      Take(e.key, e.value, e.stamp);
       seen.insert(e.key);
       after = e.key;
     }
@@ -53,7 +70,7 @@
   for (const auto& [key, stamp] : stamps_) {
     if (stamp <= first && !seen.contains(key)) gone.push_back(key);
   }
-  for (const auto& key : gone) Apply(key, "", first);
+  for (const auto& key : gone) Take(key, "", first);
   revision_ = first;
   co_return true;
 }
@@ -75,7 +92,7 @@
     }
     auto news = co_await client_.Follow(std::string(kActive), revision_, block_s_);
     if (news.ok()) {
-      for (const auto& c : news.value.changes) Apply(c.key, c.value, c.stamp);
+      for (const auto& c : news.value.changes) Take(c.key, c.value, c.stamp);
       revision_ = std::max(revision_, news.value.revision);
       std::erase_if(dropped_, [&](const auto& d) { return d.second <= revision_; });
       if (!news.value.changes.empty()) changed_.Notify();
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -29,10 +29,14 @@
   uint64_t Stamp(const std::string& key) const;
   rt::Event& changed() { return changed_; }
 
+  // Takes in a write of this node's own ahead of the watch.
   void Apply(const std::string& key, const std::string& value, uint64_t stamp);
+  // Reads a key that has turned out to be other than it is here.
+  rt::Task<> Refresh(std::string key);
 
  private:
   rt::Task<bool> Load();
+  void Take(const std::string& key, const std::string& value, uint64_t stamp);
 
   rt::Scope& scope_;
   Client& client_;
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <thread>
 
@@ -272,5 +273,52 @@
 
 TEST_F(StoodStill, ALeaderVerifiesItsLeaseFirst) { Run(Script()); }
 
+// A job is cancelled by one node and ended by the leader at once: the watch tells of both before
+// the first node's own write is answered. It must not come back then; as a ghost it would make
+// every commit of the next leader fail.
+class LateAnswer : public NetTest {
+ public:
+  rt::Task<> Script() {
+    std::string error;
+    standins::State state(scope_);
+    EXPECT_TRUE(state.Listen(At(4), &error)) << error;
+    store::Client::Options options;
+    options.endpoint = At(4);
+    options.rps = options.write_rps = 1000;
+    options.timeout_s = 1;
+    options.max_body = 1 << 20;
+    store::Client client(scope_, options);
+    std::map<std::string, std::string> copy;
+    store::Replica replica(scope_, client, 0.5,
+                           [&](const std::string& key, const std::string& v) { copy[key] = v; });
+    scope_.Spawn(replica.Run());
+    const std::string key = store::JobKey("run-1");
+    const uint64_t put = co_await Write(client, key, "{}");
+    const uint64_t drop = co_await Write(client, key, "");
+    while (replica.revision() < drop) co_await Pause(0.01);
+    EXPECT_EQ(replica.Stamp(key), 0u);
+    replica.Apply(key, "{}", put);
+    EXPECT_EQ(replica.Stamp(key), 0u) << "the answer of the first write, late";
+    EXPECT_EQ(copy[key], "");
+    // Whatever else may make the copy differ, a key that was overtaken is read anew.
+    replica.Apply(key, "{}", drop + 100);
+    EXPECT_EQ(copy[key], "{}");
+    co_await replica.Refresh(key);
+    EXPECT_EQ(copy[key], "");
+    EXPECT_EQ(replica.Stamp(key), 0u);
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+  rt::Task<uint64_t> Write(store::Client& client, std::string key, std::string value) {
+    std::vector<wire::Guard> guards;
+    std::vector<wire::Write> writes = {{std::move(key), std::move(value), 0}};
+    auto r = co_await client.Txn(std::move(guards), std::move(writes));
+    EXPECT_TRUE(r.ok());
+    co_return r.value.revision;
+  }
+};
+
+TEST_F(LateAnswer, BringsNothingBack) { Run(Script()); }
+
 }  // namespace
 }  // namespace hallpier
--- a/tests/renter_test.cc
+++ b/tests/renter_test.cc
@@ -69,5 +69,29 @@
   EXPECT_EQ(Returning(), 1);
 }
 
+// A zone that is cut off comes back as a whole. To return all that lies in it would stop what runs
+// there, and new machines could not be had sooner.
+TEST_F(RenterTest, AZoneThatFallsSilentAsAWholeIsNotReturnedInARush) {
+  roster_.BeginTerm(7, 0, 0);
+  auto hear = [&](int vm, uint64_t tick, double now) {
+    wire::Report r = ReportOf("vm-" + std::to_string(vm), 1, tick, 7);
+    r.zone = vm < 4 ? "a" : "b";
+    roster_.OnReport(r, now, false);
+  };
+  const double cut = 50, patience = 3 * settings_.lease_s;
+  uint64_t tick = 0;
+  auto run = [&](double from, double to) {
+    for (double now = from; now < to; now += settings_.report_s) {
+      ++tick;
+      for (int vm = now < cut ? 0 : 4; vm < 12; ++vm) hear(vm, tick, now);
+      EXPECT_TRUE(Review(now));
+    }
+  };
+  run(0, cut + patience - 2 * settings_.report_s);
+  EXPECT_EQ(Returning(), 0);
+  run(cut + patience, cut + patience + 3 * settings_.report_s);
+  EXPECT_EQ(Returning(), 4) << "it was not just a cut";
+}
+
 }  // namespace
 }  // namespace hallpier::fleet
