--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -45,8 +45,7 @@
   limits.max_body = kMaxRequestBody;
   // A worker that says nothing for as long has lost its lease; users ask far more often.
   limits.idle_s = s.lease_s;
-  limits.request_s = s.report_s * 3;
-  limits.quiet_s = s.report_s * 3;
+  limits.request_s = limits.quiet_s = s.report_s * 3;
   limits.shares = {{[](const wire::HttpRequest& r) { return r.path() == kCheckin; }, workers},
                    {[](const wire::HttpRequest& r) { return r.path() != kReady; }, users}};
   return limits;
--- a/src/fleet/renter.cc
+++ b/src/fleet/renter.cc
@@ -92,7 +92,6 @@
   size_t reported = 0, silent = 0, quiet = 0, deaf = 0, idle = 0;
   struct Zone {
     size_t up = 0, silent = 0;
-    // A zone that is cut off is back as a whole; till then nobody else could have more of it.
     bool cut() const { return up >= 3 && 2 * silent > up; }
   };
   std::map<std::string, Zone> zones;
@@ -100,10 +99,11 @@
     if (m.returning || (!m.reported() && m.booting)) continue;
     Zone& zone = zones[m.zone];
     ++zone.up;
-    if (roster.Silent(m, now)) ++zone.silent;
+    const bool is_silent = roster.Silent(m, now);
+    if (is_silent) ++zone.silent;
     if (!m.reported()) continue;
     ++reported;
-    if (roster.Silent(m, now)) ++silent;
+    if (is_silent) ++silent;
     if (roster.Unheard(m, now) > kQuiet) ++quiet;
     if (roster.Deaf(m, now)) ++deaf;
     const bool busy = !ledger.On(name).empty() || !m.held.empty();
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -21,6 +21,12 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 }
 
+// As recv() of one byte that stays where it is.
+ssize_t Peek(int fd) {
+  char c;
+  return recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 
 }  // namespace
@@ -88,14 +94,10 @@
 
 void Stream::Shutdown() { shutdown(fd_.get(), SHUT_RDWR); }
 
-bool Stream::Ended() const {
-  char c;
-  return recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
+bool Stream::Ended() const { return Peek(fd_.get()) == 0; }
 
 bool Stream::Stale() const {
-  char c;
-  ssize_t n = recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t n = Peek(fd_.get());
   return n >= 0 || !WouldBlock(errno);
 }
 
