--- a/src/api/user_api.cc
+++ b/src/api/user_api.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace hallpier::api {
 namespace {
@@ -11,6 +12,8 @@
 constexpr double kFinalsPerMb = 50;
 constexpr int kRetryS = 1;
 constexpr int kCasTries = 4;
+// Records read for one question about a job that awaits others, at the most.
+constexpr int kMostReads = 64;
 
 wire::HttpResponse Answer(int status, std::string body) {
   return {.status = status, .body = std::move(body)};
@@ -84,6 +87,9 @@
   if (const jobs::Job* job = d_.ledger->Find(id)) {
     out.kind = Found::Kind::kActive;
     out.job.cancelled = job->cancelled;
+    out.warm = true;
+    // Nearly always all that it needs is known here, and the answer with it.
+    if (job->held && !d_.ledger->pipelines().unknown().empty()) out.job.spec = job->spec;
     co_return out;
   }
   // Not active by then: it is final, or was never there.
@@ -91,6 +97,94 @@
   co_return out;
 }
 
+rt::Task<UserApi::Found> UserApi::LookupWhole(std::string id) {
+  Found found = co_await LookupShared(id);
+  const jobs::Job* job = d_.ledger->Find(id);
+  const bool released = job != nullptr && !job->held;
+  if (found.kind != Found::Kind::kActive || found.job.cancelled || found.job.spec.awaits.empty() ||
+      released) {
+    co_return found;
+  }
+  const Fate fate = co_await FateOf(found.job.spec.awaits, found.warm);
+  if (fate == Fate::kUnknown) co_return Found();
+  found.job.cancelled = fate == Fate::kCancelled;
+  co_return found;
+}
+
+rt::Task<UserApi::Fate> UserApi::FateOf(std::vector<std::string> awaits, bool warm) {
+  std::vector<std::string> next = std::move(awaits);
+  std::unordered_set<std::string> seen;
+  int reads = 0;
+  while (!next.empty()) {
+    const std::string id = std::move(next.back());
+    next.pop_back();
+    if (!seen.insert(id).second) continue;
+    if (const store::FinalRecord* known = d_.ledger->pipelines().Final(id)) {
+      if (known->phase == wire::Phase::kCancelled) co_return Fate::kCancelled;
+      continue;
+    }
+    if (const jobs::Job* job = d_.ledger->Find(id)) {
+      // Cancelled is for good, whatever the copy lacks; the rest holds only if it is fresh.
+      if (job->cancelled) co_return Fate::kCancelled;
+      if (!job->held) {
+        if (warm) continue;
+      } else if (warm) {
+        next.insert(next.end(), job->spec.awaits.begin(), job->spec.awaits.end());
+        continue;
+      }
+    }
+    if (++reads > kMostReads) co_return Fate::kUnknown;
+    Found found;
+    if (warm) {
+      found = co_await LookupFinal(id);
+    } else {
+      found = co_await Lookup(id);
+    }
+    if (found.kind == Found::Kind::kFinal) {
+      if (found.final_record.phase == wire::Phase::kCancelled) co_return Fate::kCancelled;
+    } else if (found.kind == Found::Kind::kActive) {
+      if (found.job.cancelled) co_return Fate::kCancelled;
+      const auto& more = found.job.spec.awaits;
+      next.insert(next.end(), more.begin(), more.end());
+    } else {
+      co_return Fate::kUnknown;
+    }
+  }
+  co_return Fate::kGoesOn;
+}
+
+rt::Task<std::optional<wire::HttpResponse>> UserApi::CheckAwaits(std::vector<std::string> awaits,
+                                                                 bool* cancelled) {
+  const bool warm = co_await d_.barrier->Reached();
+  for (const std::string& id : awaits) {
+    const jobs::Job* job = d_.ledger->Find(id);
+    if (job == nullptr) {
+      // Not active by then, if the copy is fresh: it is final, or was never there.
+      Found found = FromMemory(id);
+      if (found.kind != Found::Kind::kFinal) {
+        if (warm) {
+          found = co_await LookupFinal(id);
+        } else {
+          found = co_await Lookup(id);
+        }
+      }
+      if (found.kind == Found::Kind::kNever) {
+        co_return Answer(422, wire::WriteError(id + " was never accepted", "awaits"));
+      }
+      if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
+      if (found.kind == Found::Kind::kActive && found.job.spec.shape == wire::Shape::kStanding) {
+        co_return Answer(422, wire::WriteError(id + " never ends", "awaits"));
+      }
+    } else if (job->spec.shape == wire::Shape::kStanding) {
+      co_return Answer(422, wire::WriteError(id + " never ends", "awaits"));
+    }
+  }
+  const Fate fate = co_await FateOf(std::move(awaits), warm);
+  // Not known: then it is found out later, by the node that is asked and by the leader.
+  *cancelled = fate == Fate::kCancelled;
+  co_return std::nullopt;
+}
+
 wire::HttpResponse UserApi::Status(const std::string& id, const Found& found) const {
   if (found.kind == Found::Kind::kFinal) {
     wire::JobStatus s;
@@ -99,15 +193,12 @@
     s.done = found.final_record.done;
     return Answer(200, wire::WriteStatus(s));
   }
-  // Counts are for display and may lag; whether it is cancelled comes from the fresh read.
+  // Counts are for display and may lag; that it is not cancelled comes from the fresh read. The
+  // warm copy may know more by now, and what is cancelled stays so.
   wire::JobStatus s;
   s.id = id;
   if (const jobs::Job* job = d_.ledger->Find(id)) s = job->Status();
-  if (found.job.cancelled) {
-    s.phase = wire::Phase::kCancelled;
-  } else if (s.phase == wire::Phase::kCancelled) {
-    s.phase = wire::Phase::kPending;
-  }
+  if (found.job.cancelled) s.phase = wire::Phase::kCancelled;
   return Answer(200, wire::WriteStatus(s));
 }
 
@@ -141,7 +232,7 @@
     // or of the machine types since.
     const std::string id = spec ? spec->id : wire::GetText(*doc, "id").value_or("");
     if (wire::IsJobId(id)) {
-      Found found = co_await Lookup(id);
+      Found found = co_await LookupWhole(id);
       if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
       if (found.kind != Found::Kind::kNever) co_return Status(id, found);
     }
@@ -151,34 +242,66 @@
   if (d_.flavors->empty()) co_return NotNow("machine types are not known yet");
   const std::string id = spec->id;
   if (!finals_.contains(id) && d_.ledger->Find(id) == nullptr) {
-    store::JobRecord record;
-    record.spec = std::move(*spec);
-    record.submitted = d_.time_of_day();
-    const std::string value = store::WriteJob(record);
-    if (static_cast<double>(value.size()) > d_.settings->value_kb * 1024) {
-      co_return Answer(400, wire::WriteError("lists more machine types than fit", "flavors"));
-    }
-    std::vector<wire::Guard> guards = {{store::JobKey(id), 0}, {store::FinalKey(id), 0}};
-    std::vector<wire::Write> writes = {{store::JobKey(id), value, 0}};
-    auto r = co_await d_.client->Txn(std::move(guards), std::move(writes));
-    if (r.ok()) {
-      d_.replica->Apply(store::JobKey(id), value, r.value.revision);
-      spdlog::info("job {} accepted: {} x {} cpus, team {}", id, record.spec.tasks,
-                   record.spec.cpus, record.spec.team);
-      co_return Answer(201, wire::WritePhase(id, wire::Phase::kPending));
-    }
-    if (r.status != store::Status::kConflict) co_return NotNow("the state service is not there");
+    std::optional<wire::HttpResponse> answer = co_await Accept(std::move(*spec));
+    if (answer) co_return std::move(*answer);
   }
-  Found found = co_await Lookup(id);
+  Found found = co_await LookupWhole(id);
   if (found.kind == Found::Kind::kActive || found.kind == Found::Kind::kFinal) {
     co_return Status(id, found);
   }
   co_return NotNow("the state service is not there");
 }
 
+rt::Task<std::optional<wire::HttpResponse>> UserApi::Accept(wire::JobSpec spec) {
+  const std::string id = spec.id;
+  store::JobRecord record;
+  record.spec = std::move(spec);
+  record.submitted = d_.time_of_day();
+  std::optional<wire::HttpResponse> refused;
+  // Room for what a cancellation adds is not needed: that leaves out what has no room.
+  const double most = d_.settings->least().value_kb * 1024;
+  record.group = d_.formats->group();
+  if (static_cast<double>(store::WriteJob(record).size()) > most) {
+    const bool many = record.spec.awaits.size() > record.spec.flavors.size();
+    refused = Answer(400, wire::WriteError(many ? "names more jobs than fit"
+                                                : "lists more machine types than fit",
+                                           many ? "awaits" : "flavors"));
+  }
+  if (!record.spec.awaits.empty()) {
+    if (!refused) refused = co_await CheckAwaits(record.spec.awaits, &record.cancelled);
+    // Users name others only once every node can read it.
+    if (!refused) d_.formats->Prove("a submission awaits others");
+  }
+  if (refused) {
+    // Whoever was told "accepted" once must never be told anything worse; the version before took
+    // what the lower limits no longer hold.
+    Found found = co_await Lookup(id);
+    if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
+    if (found.kind != Found::Kind::kNever) co_return std::nullopt;
+    co_return refused;
+  }
+  const std::string value = store::WriteJob(record);
+  std::vector<wire::Guard> guards = {{store::JobKey(id), 0}, {store::FinalKey(id), 0}};
+  std::vector<wire::Write> writes = {{store::JobKey(id), value, 0}};
+  auto r = co_await d_.client->Txn(std::move(guards), std::move(writes));
+  if (r.ok()) {
+    d_.replica->Apply(store::JobKey(id), value, r.value.revision);
+    // What was read for it just now need not be read again.
+    for (const std::string& a : record.spec.awaits) {
+      if (auto it = finals_.find(a); it != finals_.end()) d_.ledger->NoteFinal(a, it->second);
+    }
+    spdlog::info("job {} accepted: {} x {} cpus, team {}, awaits {}{}", id, record.spec.tasks,
+                 record.spec.cpus, record.spec.team, record.spec.awaits.size(),
+                 record.cancelled ? ", cancelled with what it needs" : "");
+    co_return Answer(201, wire::WritePhase(id, wire::Phase::kPending));
+  }
+  if (r.status == store::Status::kConflict) co_return std::nullopt;
+  co_return NotNow("the state service is not there");
+}
+
 rt::Task<wire::HttpResponse> UserApi::Poll(std::string id) {
   if (!wire::IsJobId(id)) co_return Answer(404, wire::WriteError("no such job"));
-  Found found = co_await LookupShared(id);
+  Found found = co_await LookupWhole(id);
   if (found.kind == Found::Kind::kNever) co_return Answer(404, wire::WriteError("no such job"));
   if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
   co_return Status(id, found);
@@ -186,6 +309,8 @@
 
 rt::Task<wire::HttpResponse> UserApi::Withdraw(std::string id) {
   if (!wire::IsJobId(id)) co_return Answer(404, wire::WriteError("no such job"));
+  const auto least = static_cast<size_t>(d_.settings->least().value_kb * 1024);
+  size_t most = d_.formats->value_bytes();
   for (int attempt = 0; attempt < kCasTries; ++attempt) {
     Found found = co_await Lookup(id);
     if (found.kind == Found::Kind::kNever) co_return Answer(404, wire::WriteError("no such job"));
@@ -194,9 +319,8 @@
       co_return Answer(200, wire::WritePhase(id, found.final_record.phase));
     }
     if (found.job.cancelled) co_return Answer(200, wire::WritePhase(id, wire::Phase::kCancelled));
-    found.job.cancelled = true;
     const std::string key = store::JobKey(id);
-    const std::string value = store::WriteJob(found.job);
+    const std::string value = store::WriteCancelled(std::move(found.job), most);
     std::vector<wire::Guard> guards = {{key, found.stamp}};
     std::vector<wire::Write> writes = {{key, value, 0}};
     auto r = co_await d_.client->Txn(std::move(guards), std::move(writes), store::Urgent::kYes);
@@ -205,6 +329,12 @@
       spdlog::info("job {} cancelled", id);
       co_return Answer(200, wire::WritePhase(id, wire::Phase::kCancelled));
     }
+    if (r.status == store::Status::kInvalid && value.size() > least) {
+      // The limits are lower already, and this node did not know.
+      d_.formats->Prove("the limits are lower");
+      most = least;
+      continue;
+    }
     if (r.status != store::Status::kConflict) break;
   }
   co_return NotNow("the state service is not there");
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -14,6 +14,7 @@
 #include "net/http_server.h"
 #include "store/barrier.h"
 #include "store/client.h"
+#include "store/formats.h"
 #include "store/replica.h"
 
 namespace hallpier::api {
@@ -25,7 +26,8 @@
     store::Client* client;
     store::Replica* replica;
     store::Barrier* barrier;
-    const jobs::Ledger* ledger;
+    store::Formats* formats;
+    jobs::Ledger* ledger;
     const std::vector<wire::Flavor>* flavors;  // empty: not known yet
     std::function<double()> time_of_day;
   };
@@ -40,6 +42,7 @@
     enum class Kind { kActive, kFinal, kNever, kUnknown } kind = Kind::kUnknown;
     store::JobRecord job;
     uint64_t stamp = 0;
+    bool warm = false;  // from the warm copy, which was fresh when it was asked for
     store::FinalRecord final_record;
   };
   // Reads the job's state afresh.
@@ -48,6 +51,17 @@
   // read of its own where that fails.
   rt::Task<Found> LookupShared(std::string id);
   rt::Task<Found> LookupFinal(std::string id);
+  // The state of a job that was found, other jobs' cancellations included.
+  rt::Task<Found> LookupWhole(std::string id);
+  // Whether a job that is not cancelled itself is cancelled by way of those it needs. As fresh as
+  // what says that the job is there: an answer must not be older than one that another node gave.
+  enum class Fate { kGoesOn, kCancelled, kUnknown };
+  rt::Task<Fate> FateOf(std::vector<std::string> awaits, bool warm);
+  // What a submission that awaits others is to be told at once; nothing if all of them were
+  // accepted. `cancelled`: one of them is cancelled already.
+  rt::Task<std::optional<wire::HttpResponse>> CheckAwaits(std::vector<std::string> awaits,
+                                                          bool* cancelled);
+  rt::Task<std::optional<wire::HttpResponse>> Accept(wire::JobSpec spec);
   wire::HttpResponse Status(const std::string& id, const Found& found) const;
   // A final state that is known here; of kind kUnknown if there is none.
   Found FromMemory(const std::string& id) const;
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -30,6 +30,10 @@
   o.endpoint = s.state;
   o.rps = s.state_rps;
   o.write_rps = s.state_write_rps;
+  if (s.state_next) {
+    o.next_rps = s.least().rps;
+    o.next_write_rps = s.least().write_rps;
+  }
   o.size = s.size;
   o.timeout_s = kStateTimeoutS;
   o.max_body = static_cast<size_t>(s.memory_mb * kBodyShare * 1024 * 1024);
@@ -62,12 +66,15 @@
       client_(root_, StateOptions(settings_)),
       replica_(root_, client_, settings_.report_s,
                [this](const std::string& key, const std::string& value) { OnState(key, value); }),
+      formats_(root_, settings_, client_, replica_),
+      finals_(root_, client_, replica_, ledger_, [this] { duties_.OnReleased(); }),
       leadership_(root_, settings_, operators_, client_, replica_,
                   [this](rt::Scope& term) { duties_.Begin(term); }),
-      duties_({&settings_, &operators_, &client_, &replica_, &ledger_, &flavors_, &leadership_,
-               TimeOfDay}),
+      duties_({&settings_, &operators_, &client_, &replica_, &formats_, &ledger_, &flavors_,
+               &leadership_, TimeOfDay}),
       barrier_(root_, client_, replica_, kBarrierS),
-      users_({&settings_, &client_, &replica_, &barrier_, &ledger_, &flavors_, TimeOfDay}),
+      users_(
+          {&settings_, &client_, &replica_, &barrier_, &formats_, &ledger_, &flavors_, TimeOfDay}),
       server_(root_, ServerLimits(settings_),
               [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
       peers_(root_, settings_,
@@ -100,6 +107,8 @@
   if (!server_.Listen(settings_.listen, error)) return false;
   if (!peers_.Start(error)) return false;
   root_.Spawn(replica_.Run());
+  root_.Spawn(formats_.Run());
+  root_.Spawn(finals_.Run());
   root_.Spawn(leadership_.Run());
   spdlog::info("{} listens on {}", settings_.node, settings_.listen);
   return true;
@@ -128,14 +137,23 @@
       if (flavors) flavors_ = std::move(*flavors);
       break;
     }
+    case store::KeyKind::kFormat:
+      ledger_.Apply(parsed, value);
+      formats_.OnRecord(value);
+      break;
+    case store::KeyKind::kMark:
+      formats_.OnMark(parsed.job, value);
+      break;
     case store::KeyKind::kJob:
       ledger_.Apply(parsed, value);
+      finals_.OnChange();
       duties_.OnJobChanged(parsed.job);
       break;
     case store::KeyKind::kShard:
       ledger_.Apply(parsed, value);
       break;
     case store::KeyKind::kBlock:
+    case store::KeyKind::kFinal:
     case store::KeyKind::kOther:
       break;
   }
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "api/user_api.h"
+#include "app/awaited_finals.h"
 #include "app/duties.h"
 #include "config/settings.h"
 #include "lead/leadership.h"
@@ -12,6 +13,7 @@
 #include "net/peer_mesh.h"
 #include "rt/loop.h"
 #include "store/client.h"
+#include "store/formats.h"
 #include "store/replica.h"
 
 namespace hallpier::app {
@@ -41,6 +43,8 @@
   std::vector<wire::Flavor> flavors_;
   store::Client client_;
   store::Replica replica_;
+  store::Formats formats_;
+  AwaitedFinals finals_;
   lead::Leadership leadership_;
   Duties duties_;
   store::Barrier barrier_;
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -25,6 +25,8 @@
 constexpr double kResignRatio = 1.0;
 // Connections for direct commands, in use and kept, as a part of this machine's sockets.
 constexpr double kCommandSockets = 0.08;
+// A job becomes final with two writes, and one for a group of its tasks.
+constexpr int kLeastOps = 3;
 constexpr size_t kMaxWorkerBody = 256 * 1024;
 constexpr size_t kMaxCloudBody = 1024 * 1024;
 
@@ -70,7 +72,12 @@
       }
     }
   }
-  if (job != nullptr && job->spec.urgency <= wire::Urgency::kUrgent) urgent_came_ = true;
+  if (job != nullptr && !job->held && job->urgency <= wire::Urgency::kUrgent) urgent_came_ = true;
+  work_waits_ = true;
+  work_.Notify();
+}
+
+void Duties::OnReleased() {
   work_waits_ = true;
   work_.Notify();
 }
@@ -152,13 +159,38 @@
   co_await Commit(term, std::move(mutations));
 }
 
-rt::Task<> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
+jobs::BatchLimits Duties::Limits() const {
   jobs::BatchLimits limits;
-  limits.ops = d_.settings->txn_ops;
+  limits.ops = d_.formats->txn_ops();
+  limits.value_bytes = d_.formats->value_bytes();
+  if (refused_ops_ > 0) limits.ops = std::min(limits.ops, static_cast<int>(refused_ops_) - 1);
+  limits.ops = std::max(limits.ops, kLeastOps);
+  if (refused_bytes_ > 0) limits.value_bytes = std::min(limits.value_bytes, refused_bytes_ - 1);
   limits.block_key = store::BlockKey(0);
   limits.token = d_.leadership->token();
-  limits.value_bytes = static_cast<size_t>(d_.settings->value_kb * 1024);
   limits.patience_s = d_.settings->report_s;
+  limits.packed = d_.formats->packed();
+  limits.time_of_day = d_.time_of_day();
+  return limits;
+}
+
+void Duties::OnTooLarge(const std::vector<wire::Write>& writes) {
+  if (!d_.formats->packed() && d_.settings->state_next) {
+    d_.formats->Prove("the limits are lower");
+    return;
+  }
+  size_t largest = 0;
+  for (const wire::Write& w : writes) largest = std::max(largest, w.value.size());
+  // Fewer writes at a time first; then smaller values, in which placements wait.
+  if (static_cast<int>(writes.size()) > kLeastOps) {
+    refused_ops_ = writes.size();
+  } else if (largest > 1) {
+    refused_bytes_ = largest;
+  }
+}
+
+rt::Task<> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
+  const jobs::BatchLimits limits = Limits();
   auto stamp = [this](const std::string& key) { return d_.replica->Stamp(key); };
   auto txns = jobs::BuildTxns(*d_.ledger, mutations, limits, stamp);
   const double begin = term.loop().Now();
@@ -182,6 +214,11 @@
       spdlog::info("commit of {} writes failed ({}{})", writes.size(), static_cast<int>(r.status),
                    r.value.failed.empty() ? "" : ", overtaken: " + r.value.failed.front());
       work_waits_ = true;
+      if (r.status == store::Status::kInvalid) {
+        // It holds up nothing that comes behind it.
+        OnTooLarge(writes);
+        continue;
+      }
       // The watch brings most of it by itself. Were the copy wrong for good, the same write would
       // fail in every round, and all that comes behind it with it.
       for (const std::string& key : r.value.failed) {
@@ -191,12 +228,22 @@
       co_return;
     }
     for (const auto& line : ends) spdlog::info("{}", line);
+    NoteFinals(writes);
     for (const wire::Write& w : writes) d_.replica->Apply(w.key, w.value, r.value.revision);
     std::set<std::string> machines(t.machines.begin(), t.machines.end());
     for (const auto& m : machines) Tell(term, m);
   }
 }
 
+void Duties::NoteFinals(const std::vector<wire::Write>& writes) {
+  // A job's end is written with the drop of its record: what awaits it needs no read of its own.
+  for (const wire::Write& w : writes) {
+    const store::ParsedKey key = store::ParseKey(w.key);
+    if (key.kind != store::KeyKind::kFinal) continue;
+    if (auto record = store::ReadFinal(w.value)) d_.ledger->NoteFinal(key.job, *record);
+  }
+}
+
 void Duties::DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const {
   const store::ParsedKey key = store::ParseKey(w.key);
   if (key.kind != store::KeyKind::kJob || !w.value.empty()) return;
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -15,6 +15,7 @@
 #include "net/http_client.h"
 #include "plan/round.h"
 #include "store/client.h"
+#include "store/formats.h"
 #include "store/replica.h"
 
 namespace hallpier::app {
@@ -26,6 +27,7 @@
     const config::Operator* operators;
     store::Client* client;
     store::Replica* replica;
+    store::Formats* formats;
     jobs::Ledger* ledger;
     std::vector<wire::Flavor>* flavors;
     lead::Leadership* leadership;
@@ -37,6 +39,8 @@
   void Begin(rt::Scope& term);
   // A job's record has changed; the leader looks at it in the next round.
   void OnJobChanged(const std::string& id);
+  // Jobs may have come free of what they awaited.
+  void OnReleased();
   // A worker's report, and what it is to be told.
   wire::HttpResponse OnCheckin(const wire::Report& report);
 
@@ -48,12 +52,17 @@
   rt::Task<> Round(rt::Scope& term);
   // What does not get written is decided anew: the records say what comes next.
   rt::Task<> Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations);
+  // A transaction was refused as malformed: too large, in all likelihood. What is built next is
+  // smaller, so that nothing is ever sent twice unchanged.
+  void OnTooLarge(const std::vector<wire::Write>& writes);
+  jobs::BatchLimits Limits() const;
   rt::Task<> CloudLoop(rt::Scope& term);
   rt::Task<bool> ListMachines(rt::Scope& term);
   rt::Task<> LearnFlavors(rt::Scope& term);
   rt::Task<> Rent(rt::Scope& term);
   rt::Task<> ReturnMachines(rt::Scope& term);
   rt::Task<std::optional<wire::HttpResponse>> CallCloud(rt::Scope& term, wire::HttpRequest request);
+  void NoteFinals(const std::vector<wire::Write>& writes);
   // Adds a line for the log if the write makes a job final.
   void DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const;
   // Tells a worker its orders without waiting for its report; one command at a time.
@@ -71,6 +80,9 @@
   rt::Scope* term_ = nullptr;
   rt::Event work_;
   bool work_waits_ = false;
+  // What refusals have shown to be too large; 0: nothing has.
+  size_t refused_ops_ = 0;
+  size_t refused_bytes_ = 0;
   bool urgent_came_ = false;            // prod or urgent work that no round has seen yet
   std::set<std::string> told_;          // machines with a direct command under way
   std::set<std::string> to_tell_;       // and those that need one after it, or once there is room
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -73,6 +73,22 @@
     return *v;
   }
 
+  // What the state service takes; where `otherwise` is given, a limit may be missing.
+  StateLimits Limits(const toml::table& t, const std::string& where,
+                     const std::optional<StateLimits>& otherwise) {
+    auto number = [&](const char* key, double least, auto StateLimits::*limit) {
+      std::optional<double> other;
+      if (otherwise) other = static_cast<double>((*otherwise).*limit);
+      return Number(t, where, key, least, other);
+    };
+    StateLimits out;
+    out.rps = number("rps", 1, &StateLimits::rps);
+    out.write_rps = number("write_rps", 1, &StateLimits::write_rps);
+    out.value_kb = number("value_kb", 1, &StateLimits::value_kb);
+    out.txn_ops = static_cast<int>(number("txn_ops", 4, &StateLimits::txn_ops));
+    return out;
+  }
+
   const toml::table& Table(const char* path, bool required = true) {
     if (const toml::table* t = root_.at_path(path).as_table()) return *t;
     if (required) Fault(path, "missing section");
@@ -101,6 +117,16 @@
 
 }  // namespace
 
+StateLimits Settings::least() const {
+  StateLimits out{state_rps, state_write_rps, value_kb, txn_ops};
+  if (!state_next) return out;
+  out.rps = std::min(out.rps, state_next->rps);
+  out.write_rps = std::min(out.write_rps, state_next->write_rps);
+  out.value_kb = std::min(out.value_kb, state_next->value_kb);
+  out.txn_ops = std::min(out.txn_ops, state_next->txn_ops);
+  return out;
+}
+
 const Team* Settings::FindTeam(const std::string& name) const {
   for (const Team& t : teams) {
     if (t.name == name) return &t;
@@ -174,10 +200,18 @@
   s.lease_s = r.Number(workers, "params.workers.", "lease_s", 0.1);
   s.cancel_s = r.Number(workers, "params.workers.", "cancel_s", 0.1);
   const toml::table& state = r.Table("params.state");
-  s.state_rps = r.Number(state, "params.state.", "rps", 1);
-  s.state_write_rps = r.Number(state, "params.state.", "write_rps", 1);
-  s.value_kb = r.Number(state, "params.state.", "value_kb", 1);
-  s.txn_ops = static_cast<int>(r.Number(state, "params.state.", "txn_ops", 4));
+  const StateLimits now = r.Limits(state, "params.state.", std::nullopt);
+  s.state_rps = now.rps;
+  s.state_write_rps = now.write_rps;
+  s.value_kb = now.value_kb;
+  s.txn_ops = now.txn_ops;
+  if (state.contains("next")) {
+    if (const toml::table* next = state["next"].as_table()) {
+      s.state_next = r.Limits(*next, "params.state.next.", now);
+    } else {
+      r.Fault("params.state.next", "not a table");
+    }
+  }
   const toml::table& cloud = r.Table("params.cloud");
   s.cloud_rps = r.Number(cloud, "params.cloud.", "rps", 0.01);
   s.list_lag_s = r.Number(cloud, "params.cloud.", "list_lag_s", 0);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -28,6 +28,14 @@
   double share = 0;
 };
 
+// What the state service takes.
+struct StateLimits {
+  double rps = 0;
+  double write_rps = 0;
+  double value_kb = 0;
+  int txn_ops = 0;
+};
+
 struct Settings {
   std::string node;
   std::string area;
@@ -48,12 +56,16 @@
   double state_write_rps = 0;
   double value_kb = 0;
   int txn_ops = 0;
+  // What it will take from some moment on, of which nobody is told.
+  std::optional<StateLimits> state_next;
   double cloud_rps = 0;
   double list_lag_s = 0;
   double core_share = 1;
   double memory_mb = 0;
   int max_sockets = 0;
 
+  // The smaller of both: what is within these is never refused for its size.
+  StateLimits least() const;
   const Team* FindTeam(const std::string& name) const;
   // The first one of a kind for a lane.
   const Objective* FindObjective(const std::string& kind, const std::string& lane) const;
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -507,11 +507,8 @@
   std::erase_if(stops_, [&](const auto& s) {
     const jobs::Job* job = ledger.Find(s.first.job);
     if (job == nullptr) return true;
-    auto shard = job->shards().find(ledger.ShardOf(s.first.index));
-    if (shard == job->shards().end()) return true;
-    auto open = shard->second.open.find(s.first.index);
-    return open == shard->second.open.end() || open->second.machine.empty() ||
-           open->second.attempt != s.second.attempt;
+    const store::TaskState* open = job->FindOpen(s.first.index);
+    return open == nullptr || open->machine.empty() || open->attempt != s.second.attempt;
   });
   return out;
 }
--- a/src/jobs/batch.cc
+++ b/src/jobs/batch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace hallpier::jobs {
 namespace {
@@ -45,7 +46,7 @@
 Rank RankOf(const Job& job, const Mutation& m, const BatchLimits& limits) {
   switch (m.kind) {
     case Mutation::Kind::kPlace:
-      return job.spec.urgency <= wire::Urgency::kUrgent ? Rank::kUrgentStart : Rank::kStart;
+      return job.urgency <= wire::Urgency::kUrgent ? Rank::kUrgentStart : Rank::kStart;
     case Mutation::Kind::kRequeue:
       return job.cancelled ? Rank::kEnd : Rank::kStart;
     case Mutation::Kind::kDone:
@@ -61,26 +62,25 @@
 
   void AddJob(const std::string& id, const Changed& changed) {
     const Job& job = *changed.job;
-    const uint32_t done = Sum(job, changed, [](const store::Shard& s) { return s.done.size(); });
-    const uint32_t placed = Sum(job, changed, [](const store::Shard& s) { return s.placed(); });
-    const bool over = !job.cancelled && done == job.spec.tasks;
-    const bool ended = over || (job.cancelled && placed == 0);
-    const size_t room = static_cast<size_t>(limits_.ops) - 2;
-    const bool one_txn = changed.shards.size() <= room;
-    if (ended && one_txn) {
-      AddFinal(id, changed, over ? wire::Phase::kDone : wire::Phase::kCancelled, done, room);
-      return;
+    const Ending ending = EndingOf(changed);
+    if (ending != Ending::kNone) {
+      const Rank rank = job.cancelled ? CancelRank(id, job) : Rank::kEnd;
+      if (AddFinal(id, changed, ending, rank)) return;
     }
     for (const auto& [number, shard] : changed.shards) {
       Unit u;
-      const std::string key = store::ShardKey(id, number);
+      const std::string key = job.groups.KeyOf(id, number);
       std::vector<std::pair<uint32_t, std::string>> places;
       if (auto it = changed.places.find(number); it != changed.places.end()) places = it->second;
-      std::string value = store::WriteShard(shard);
+      std::string value = Write(job, number, shard);
       if (limits_.value_bytes > 0 && value.size() > limits_.value_bytes && !places.empty()) {
         value = Trim(job, number, shard, &places);
       }
-      u.guards = {{store::JobKey(id), stamp_(store::JobKey(id))}, {key, stamp_(key)}};
+      u.guards = {Guard(store::JobKey(id)), Guard(key)};
+      // What a part is carried over from must not have changed meanwhile.
+      for (const std::string& stored : job.groups.StoredKeys(id, number)) {
+        if (stored != key && !job.groups.PartStored(number)) u.guards.push_back(Guard(stored));
+      }
       u.writes = {{key, std::move(value), 0}};
       for (auto& [index, machine] : places) u.machines.push_back(std::move(machine));
       u.rank = changed.ranks.at(number);
@@ -88,9 +88,34 @@
     }
   }
 
+  // Jobs that end by cancellation, those first that no other unfinished one awaits.
+  std::vector<std::string> InCancelOrder(const std::vector<std::string>& jobs,
+                                         const std::map<std::string, Changed>& by_job) {
+    std::map<std::string, size_t> waits;  // how many jobs must become final before
+    std::vector<std::string> out;
+    for (const std::string& id : jobs) {
+      const Changed& changed = by_job.at(id);
+      if (!changed.job->cancelled || EndingOf(changed) == Ending::kNone) continue;
+      const size_t n = ledger_.pipelines().Dependents(id).size();
+      waits[id] = n;
+      if (n == 0) out.push_back(id);
+    }
+    for (size_t i = 0; i < out.size(); ++i) {
+      for (const std::string& a : ledger_.Find(out[i])->spec.awaits) {
+        auto it = waits.find(a);
+        if (it != waits.end() && --it->second == 0) out.push_back(a);
+      }
+    }
+    // Whoever has a dependent that can't end yet stays as it is.
+    for (const auto& [id, left] : waits) {
+      if (left > 0) held_back_.insert(id);
+    }
+    return out;
+  }
+
   void AddDrop(const std::string& key) {
     Unit u;
-    u.guards = {{key, stamp_(key)}};
+    u.guards = {Guard(key)};
     u.writes = {{key, "", 0}};
     units_.push_back(std::move(u));
   }
@@ -125,6 +150,35 @@
   }
 
  private:
+  enum class Ending { kNone, kDone, kCancelled };
+
+  Ending EndingOf(const Changed& changed) const {
+    const Job& job = *changed.job;
+    if (job.cancelled) {
+      const uint32_t placed = Sum(job, changed, [](const store::Shard& s) { return s.placed(); });
+      return placed == 0 ? Ending::kCancelled : Ending::kNone;
+    }
+    const uint32_t done = Sum(job, changed, [](const store::Shard& s) { return s.done.size(); });
+    return done == job.spec.tasks ? Ending::kDone : Ending::kNone;
+  }
+
+  // What is cancelled for the sake of another, and never ran, is in nobody's way: every node says
+  // so already, and thousands of such records must not keep starts and other ends from the budget.
+  // Whoever it awaits can't go before it.
+  Rank CancelRank(const std::string& id, const Job& job) const {
+    const bool awaited = !ledger_.pipelines().Dependents(id).empty();
+    return awaited || job.held ? Rank::kOutcome : Rank::kEnd;
+  }
+
+  wire::Guard Guard(const std::string& key) const { return {key, stamp_(key)}; }
+
+  std::string Write(const Job& job, uint32_t number, const store::Shard& shard) const {
+    if (!limits_.packed) return store::WriteShard(shard);
+    const store::Layout& layout = job.groups.layout();
+    const uint32_t first = layout.First(number);
+    return store::WritePacked(shard, first, std::min(layout.End(number), job.spec.tasks) - first);
+  }
+
   // Takes back placements until the value is no longer too large; they wait for others to end.
   std::string Trim(const Job& job, uint32_t number, store::Shard shard,
                    std::vector<std::pair<uint32_t, std::string>>* places) const {
@@ -141,39 +195,51 @@
         }
       }
       places->resize(keep);
-      value = store::WriteShard(shard);
+      value = Write(job, number, shard);
     } while (value.size() > limits_.value_bytes && !places->empty());
     return value;
   }
 
-  void AddFinal(const std::string& id, const Changed& changed, wire::Phase phase, uint64_t done,
-                size_t room) {
+  // False if it can't be done in one transaction, or not yet.
+  bool AddFinal(const std::string& id, const Changed& changed, Ending ending, Rank rank) {
+    if (held_back_.contains(id)) return false;
     const Job& job = *changed.job;
-    Unit u;
-    u.rank = Rank::kEnd;
-    const std::string job_key = store::JobKey(id);
-    u.guards.push_back({job_key, stamp_(job_key)});
-    u.writes.push_back({store::FinalKey(id), store::WriteFinal({phase, done}), 0});
-    u.writes.push_back({job_key, "", 0});
-    // The changed shards must go with it; what has no room is dropped later, as an orphan.
-    std::vector<uint32_t> drop;
+    const size_t room = static_cast<size_t>(limits_.ops) - 2;
+    // The changed groups must go with it; what has no room is dropped later, as left over.
+    std::vector<std::string> drop;
     for (const auto& [number, shard] : changed.shards) {
-      if (job.shards().contains(number)) drop.push_back(number);
+      for (auto& key : job.groups.StoredKeys(id, number)) {
+        if (std::find(drop.begin(), drop.end(), key) == drop.end()) drop.push_back(std::move(key));
+      }
     }
-    for (const auto& [number, shard] : job.shards()) {
-      if (!changed.shards.contains(number) && drop.size() < room) drop.push_back(number);
+    if (drop.size() > room) return false;
+    for (auto& key : job.groups.StoredKeys(id)) {
+      if (drop.size() >= room) break;
+      if (std::find(drop.begin(), drop.end(), key) == drop.end()) drop.push_back(std::move(key));
     }
-    for (uint32_t number : drop) {
-      const std::string key = store::ShardKey(id, number);
-      u.guards.push_back({key, stamp_(key)});
+    const uint32_t done = Sum(job, changed, [](const store::Shard& s) { return s.done.size(); });
+    store::FinalRecord record;
+    record.phase = ending == Ending::kDone ? wire::Phase::kDone : wire::Phase::kCancelled;
+    record.done = done;
+    if (limits_.packed) record.at = limits_.time_of_day;
+    Unit u;
+    u.rank = rank;
+    const std::string job_key = store::JobKey(id);
+    u.guards.push_back(Guard(job_key));
+    u.writes.push_back({store::FinalKey(id), store::WriteFinal(record), 0});
+    u.writes.push_back({job_key, "", 0});
+    for (const std::string& key : drop) {
+      u.guards.push_back(Guard(key));
       u.writes.push_back({key, "", 0});
     }
     units_.push_back(std::move(u));
+    return true;
   }
 
   const Ledger& ledger_;
   const BatchLimits& limits_;
   const StampOf& stamp_;
+  std::set<std::string> held_back_;  // cancelled, but awaited by what can't end yet
   std::vector<Unit> units_;
 };
 
@@ -192,7 +258,7 @@
       c.job = job;
       order.push_back(m.task.job);
     }
-    const uint32_t number = ledger.ShardOf(m.task.index);
+    const uint32_t number = job->groups.layout().GroupOf(m.task.index);
     auto [shard, untouched] = c.shards.try_emplace(number);
     if (untouched) {
       if (auto old = job->shards().find(number); old != job->shards().end()) {
@@ -217,8 +283,13 @@
     order.push_back(id);
   }
   Builder builder(ledger, limits, stamp);
-  for (const auto& id : order) builder.AddJob(id, by_job[id]);
-  for (const auto& key : ledger.Orphans()) builder.AddDrop(key);
+  const std::vector<std::string> ending = builder.InCancelOrder(order, by_job);
+  const std::set<std::string> known(ending.begin(), ending.end());
+  for (const auto& id : order) {
+    if (!known.contains(id)) builder.AddJob(id, by_job[id]);
+  }
+  for (const auto& id : ending) builder.AddJob(id, by_job[id]);
+  for (const auto& key : ledger.Leftovers()) builder.AddDrop(key);
   return builder.Pack();
 }
 
--- a/src/jobs/batch.h
+++ b/src/jobs/batch.h
@@ -31,10 +31,16 @@
   uint64_t token = 0;      // the block record's stamp: who holds another one loses
   size_t value_bytes = 0;  // of the largest value; 0: any
   double patience_s = 0;   // ends of tasks wait no longer than this behind starts
+  // Every node reads the newer forms: groups are packed, and final records hold their time.
+  bool packed = false;
+  double time_of_day = 0;
 };
 
 using StampOf = std::function<uint64_t(const std::string& key)>;
 
+// A job that is cancelled becomes final only after all that await it: as long as any of these is
+// unfinished, its record says why they are cancelled, whoever leads.
+//
 // Mutations that the records no longer allow are left out. Jobs whose last task is done, or that
 // are cancelled with nothing placed any more, become final in the same transaction. All that a
 // round has for one group of tasks goes into one write.
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -2,11 +2,12 @@
 
 #include <spdlog/spdlog.h>
 
+#include <iterator>
 #include <utility>
 
 namespace hallpier::jobs {
 
-void Job::Count(const store::Shard& shard, bool add) {
+void Groups::Count(const store::Shard& shard, bool add) {
   // Unsigned sums wrap and come back: what is taken off was added before.
   const uint32_t done = shard.done.size(), placed = shard.placed();
   done_ += add ? done : -done;
@@ -19,23 +20,82 @@
   }
 }
 
-void Job::SetShard(uint32_t number, std::optional<store::Shard> shard) {
-  if (auto old = shards_.find(number); old != shards_.end()) {
+void Groups::Set(uint32_t number, std::optional<store::Shard> group) {
+  if (auto old = groups_.find(number); old != groups_.end()) {
     Count(old->second, false);
-    shards_.erase(old);
+    groups_.erase(old);
   }
-  if (!shard) return;
-  Count(*shard, true);
-  shards_[number] = std::move(*shard);
+  if (!group) return;
+  Count(*group, true);
+  groups_[number] = std::move(*group);
 }
 
-void Job::SetShards(std::map<uint32_t, store::Shard> shards) {
-  for (auto& [number, shard] : shards) SetShard(number, std::move(shard));
+void Groups::Divide(store::Layout layout) {
+  if (layout == layout_) return;
+  // By the tasks themselves: groups that came before their job's record were numbered on a guess.
+  store::Shard all;
+  for (auto& [number, group] : std::exchange(groups_, {})) {
+    Count(group, false);
+    for (const auto& [first, last] : group.done.ranges()) {
+      for (uint32_t i = first; i <= last; ++i) all.done.Insert(i);
+    }
+    all.open.insert(group.open.begin(), group.open.end());
+    for (const auto& [flavor, stats] : group.runs) {
+      all.runs[flavor].count += stats.count;
+      all.runs[flavor].sum_s += stats.sum_s;
+    }
+  }
+  layout_ = layout;
+  uint32_t end = all.open.empty() ? 0 : all.open.rbegin()->first + 1;
+  if (!all.done.ranges().empty()) end = std::max(end, all.done.ranges().rbegin()->second + 1);
+  for (uint32_t n = 0; layout.First(n) < end; ++n) {
+    store::Shard part = Slice(all, layout.First(n), layout.End(n), n == 0);
+    if (!part.empty()) Set(n, std::move(part));
+  }
+}
+
+void Groups::NoteStored(const store::ParsedKey& key, bool there) {
+  std::set<uint32_t>& keys = key.part ? parts_ : wholes_;
+  const uint32_t number = key.part ? key.shard * layout_.parts + *key.part : key.shard;
+  if (there) {
+    keys.insert(number);
+  } else {
+    keys.erase(number);
+  }
+}
+
+std::string Groups::KeyOf(const std::string& id, uint32_t number) const {
+  if (layout_.parts == 1) return store::ShardKey(id, number);
+  return store::PartKey(id, number / layout_.parts, number % layout_.parts);
+}
+
+std::vector<std::string> Groups::StoredKeys(const std::string& id, uint32_t number) const {
+  std::vector<std::string> out;
+  const uint32_t whole = number / layout_.parts;
+  if (wholes_.contains(whole)) out.push_back(store::ShardKey(id, whole));
+  if (parts_.contains(number)) out.push_back(KeyOf(id, number));
+  return out;
 }
 
-std::map<uint32_t, store::Shard> Job::TakeShards() {
-  for (const auto& [number, shard] : shards_) Count(shard, false);
-  return std::exchange(shards_, {});
+std::vector<std::string> Groups::StoredKeys(const std::string& id) const {
+  std::vector<std::string> out;
+  for (uint32_t whole : wholes_) out.push_back(store::ShardKey(id, whole));
+  for (uint32_t number : parts_) out.push_back(KeyOf(id, number));
+  return out;
+}
+
+std::vector<std::string> Groups::Superseded(const std::string& id) const {
+  std::vector<std::string> out;
+  if (parts_.empty()) return out;
+  for (uint32_t whole : wholes_) {
+    bool needed = false;
+    for (uint32_t p = 0; p < layout_.parts; ++p) {
+      const uint32_t number = whole * layout_.parts + p;
+      needed = needed || (groups_.contains(number) && !parts_.contains(number));
+    }
+    if (!needed) out.push_back(store::ShardKey(id, whole));
+  }
+  return out;
 }
 
 wire::JobStatus Job::Status() const {
@@ -49,15 +109,23 @@
   return s;
 }
 
+const store::TaskState* Job::FindOpen(uint32_t index) const {
+  auto group = shards().find(groups.layout().GroupOf(index));
+  if (group == shards().end()) return nullptr;
+  auto open = group->second.open.find(index);
+  return open == group->second.open.end() ? nullptr : &open->second;
+}
+
 std::optional<double> Job::MeanRun(const std::string& flavor) const {
-  auto it = runs_.find(flavor);
-  if (it == runs_.end() || it->second.count == 0) return std::nullopt;
+  auto it = groups.runs().find(flavor);
+  if (it == groups.runs().end() || it->second.count == 0) return std::nullopt;
   return it->second.sum_s / static_cast<double>(it->second.count);
 }
 
 std::optional<double> Job::MeanRun() const {
-  if (all_runs_.count == 0) return std::nullopt;
-  return all_runs_.sum_s / static_cast<double>(all_runs_.count);
+  const store::RunStats& all = groups.all_runs();
+  if (all.count == 0) return std::nullopt;
+  return all.sum_s / static_cast<double>(all.count);
 }
 
 const Job* Ledger::Find(const std::string& id) const {
@@ -99,31 +167,91 @@
 }
 
 void Ledger::Apply(const store::ParsedKey& key, const std::string& value) {
-  if (key.kind == store::KeyKind::kJob) {
-    if (value.empty()) {
-      auto it = jobs_.find(key.job);
-      if (it == jobs_.end()) return;
-      auto left = it->second.TakeShards();
-      if (!left.empty()) orphans_[key.job] = std::move(left);
-      jobs_.erase(it);
-      return;
-    }
-    auto record = store::ReadJob(value);
-    if (!record) {
-      spdlog::error("state: job record {} can't be read; it is left as it is", key.job);
-      return;
-    }
-    Job& job = jobs_[key.job];
-    job.spec = std::move(record->spec);
-    job.submitted = record->submitted;
-    job.cancelled = record->cancelled;
-    if (auto it = orphans_.find(key.job); it != orphans_.end()) {
-      job.SetShards(std::move(it->second));
-      orphans_.erase(it);
+  switch (key.kind) {
+    case store::KeyKind::kFormat:
+      // It is never dropped, and what it says of the layout never changes.
+      if (auto record = store::ReadFormat(value)) SetCommonLayout(record->layout);
+      break;
+    case store::KeyKind::kJob:
+      ApplyJob(key.job, value);
+      UpdateViews();
+      break;
+    case store::KeyKind::kShard:
+      ApplyShard(key, value);
+      break;
+    default:
+      break;
+  }
+}
+
+void Ledger::NoteFinal(const std::string& id, const store::FinalRecord& r) {
+  pipelines_.NoteFinal(id, r);
+  UpdateViews();
+}
+
+void Ledger::UpdateViews() {
+  for (const std::string& id : pipelines_.TakeTouched()) {
+    const Pipelines::View* view = pipelines_.Find(id);
+    auto it = jobs_.find(id);
+    if (view == nullptr || it == jobs_.end()) continue;
+    Job& job = it->second;
+    job.cancelled = view->cancelled;
+    job.held = view->held;
+    job.since = view->since;
+    job.urgency = view->urgency;
+    job.due = view->due;
+  }
+}
+
+void Ledger::SetCommonLayout(const store::Layout& layout) {
+  if (layout == common_) return;
+  common_ = layout;
+  for (auto& [id, job] : jobs_) {
+    if (job.common_layout) job.groups.Divide(layout);
+  }
+  for (auto& [id, groups] : orphans_) groups.Divide(layout);
+}
+
+void Ledger::ApplyJob(const std::string& id, const std::string& value) {
+  auto it = jobs_.find(id);
+  if (value.empty()) {
+    if (it == jobs_.end()) return;
+    pipelines_.Drop(id);
+    if (!it->second.groups.StoredKeys(id).empty()) {
+      orphans_.insert_or_assign(id, std::move(it->second.groups));
     }
+    jobs_.erase(it);
     return;
   }
-  if (key.kind != store::KeyKind::kShard) return;
+  auto record = store::ReadJob(value);
+  if (!record || record->spec.id != id) {
+    spdlog::error("state: job record {} can't be read; it is left as it is", id);
+    return;
+  }
+  if (it == jobs_.end()) {
+    const store::Layout layout = record->group > 0 ? store::Layout{record->group, 1} : common_;
+    Groups groups(layout);
+    if (auto lost = orphans_.find(id); lost != orphans_.end()) {
+      groups = std::move(lost->second);
+      groups.Divide(layout);
+      orphans_.erase(lost);
+    }
+    it = jobs_.emplace(id, Job(std::move(groups))).first;
+    it->second.common_layout = record->group == 0;
+  }
+  pipelines_.Put(*record);
+  it->second.spec = std::move(record->spec);
+  it->second.submitted = record->submitted;
+}
+
+void Ledger::SetGroup(const std::string& id, Groups& groups, uint32_t number,
+                      std::optional<store::Shard> group) {
+  auto old = groups.all().find(number);
+  Index(id, old == groups.all().end() ? nullptr : &old->second, group ? &*group : nullptr);
+  groups.Set(number, std::move(group));
+}
+
+void Ledger::ApplyShard(const store::ParsedKey& key, const std::string& value) {
   std::optional<store::Shard> shard;
   if (!value.empty()) {
     shard = store::ReadShard(value);
@@ -133,36 +261,46 @@
       return;
     }
   }
-  auto job = jobs_.find(key.job);
-  auto lost = orphans_.find(key.job);
-  const std::map<uint32_t, store::Shard>* shards = nullptr;
-  if (job != jobs_.end()) {
-    shards = &job->second.shards();
-  } else if (lost != orphans_.end()) {
-    shards = &lost->second;
-  }
-  const store::Shard* before = nullptr;
-  if (shards != nullptr) {
-    if (auto old = shards->find(key.shard); old != shards->end()) before = &old->second;
-  }
-  Index(key.job, before, shard ? &*shard : nullptr);
-  if (job != jobs_.end()) {
-    job->second.SetShard(key.shard, std::move(shard));
+  Groups* groups = nullptr;
+  if (auto job = jobs_.find(key.job); job != jobs_.end()) {
+    groups = &job->second.groups;
+  } else if (auto lost = orphans_.find(key.job); lost != orphans_.end()) {
+    groups = &lost->second;
   } else if (shard) {
-    orphans_[key.job][key.shard] = std::move(*shard);
-  } else if (lost != orphans_.end()) {
-    lost->second.erase(key.shard);
-    if (lost->second.empty()) orphans_.erase(lost);
+    groups = &orphans_.emplace(key.job, Groups(common_)).first->second;
+  } else {
+    return;
+  }
+  const store::Layout& layout = groups->layout();
+  const uint32_t parts = layout.parts;
+  if (key.part && *key.part >= parts) return;  // of no layout that was ever recorded
+  groups->NoteStored(key, shard.has_value());
+  if (key.part || parts == 1) {
+    SetGroup(key.job, *groups, key.part ? key.shard * parts + *key.part : key.shard,
+             std::move(shard));
+  } else {
+    for (uint32_t p = 0; p < parts; ++p) {
+      const uint32_t number = key.shard * parts + p;
+      if (groups->PartStored(number)) continue;
+      std::optional<store::Shard> part;
+      if (shard) part = Slice(*shard, layout.First(number), layout.End(number), p == 0);
+      if (part && part->empty()) part.reset();
+      SetGroup(key.job, *groups, number, std::move(part));
+    }
+  }
+  if (auto lost = orphans_.find(key.job);
+      lost != orphans_.end() && lost->second.StoredKeys(key.job).empty()) {
+    orphans_.erase(lost);
   }
 }
 
 std::vector<uint32_t> Ledger::Waiting(const Job& job, size_t limit) const {
   std::vector<uint32_t> out;
-  const uint32_t count = Shards(job);
-  for (uint32_t s = 0; s < count && out.size() < limit; ++s) {
-    auto it = job.shards().find(s);
-    const uint32_t end = std::min(job.spec.tasks, (s + 1) * tasks_per_shard_);
-    for (uint32_t i = s * tasks_per_shard_; i < end && out.size() < limit; ++i) {
+  const store::Layout& layout = job.groups.layout();
+  for (uint32_t g = 0; layout.First(g) < job.spec.tasks && out.size() < limit; ++g) {
+    auto it = job.shards().find(g);
+    const uint32_t end = std::min(job.spec.tasks, layout.End(g));
+    for (uint32_t i = layout.First(g); i < end && out.size() < limit; ++i) {
       if (it != job.shards().end()) {
         if (it->second.done.Contains(i)) continue;
         auto open = it->second.open.find(i);
@@ -175,10 +313,8 @@
 }
 
 uint64_t Ledger::NextAttempt(const Job& job, uint32_t index) const {
-  auto it = job.shards().find(ShardOf(index));
-  if (it == job.shards().end()) return 1;
-  auto open = it->second.open.find(index);
-  return open == it->second.open.end() ? 1 : open->second.attempt + 1;
+  const store::TaskState* open = job.FindOpen(index);
+  return open == nullptr ? 1 : open->attempt + 1;
 }
 
 bool Ledger::Change(const Job& job, const Mutation& m, store::Shard* shard) const {
@@ -188,7 +324,8 @@
                     open->second.attempt == m.attempt;
   switch (m.kind) {
     case Mutation::Kind::kPlace: {
-      if (job.cancelled || i >= job.spec.tasks || shard->done.Contains(i)) return false;
+      // Whoever asked for it: nothing starts before all awaited jobs are recorded as done.
+      if (job.cancelled || job.held || i >= job.spec.tasks || shard->done.Contains(i)) return false;
       const bool waits = open == shard->open.end() || open->second.machine.empty();
       const uint64_t last = open == shard->open.end() ? 0 : open->second.attempt;
       if (!waits || m.attempt != last + 1) return false;
@@ -213,11 +350,14 @@
   return false;
 }
 
-std::vector<std::string> Ledger::Orphans() const {
+std::vector<std::string> Ledger::Leftovers() const {
   std::vector<std::string> out;
-  for (const auto& [job, shards] : orphans_) {
-    for (const auto& [number, shard] : shards) out.push_back(store::ShardKey(job, number));
-  }
+  auto add = [&out](std::vector<std::string> keys) {
+    std::move(keys.begin(), keys.end(), std::back_inserter(out));
+  };
+  for (const auto& [id, groups] : orphans_) add(groups.StoredKeys(id));
+  if (common_.parts == 1) return out;
+  for (const auto& [id, job] : jobs_) add(job.groups.Superseded(id));
   return out;
 }
 
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -4,39 +4,54 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "jobs/pipelines.h"
 #include "store/schema.h"
 #include "wire/messages.h"
 
 namespace hallpier::jobs {
 
-struct Job {
-  wire::JobSpec spec;
-  double submitted = 0;
-  bool cancelled = false;
+// A job's groups of tasks, and the keys that they are kept under.
+class Groups {
+ public:
+  explicit Groups(store::Layout layout) : layout_(layout) {}
 
-  const std::map<uint32_t, store::Shard>& shards() const { return shards_; }
-  void SetShards(std::map<uint32_t, store::Shard> shards);
+  const store::Layout& layout() const { return layout_; }
+  const std::map<uint32_t, store::Shard>& all() const { return groups_; }
   // Nothing: the group is dropped.
-  void SetShard(uint32_t number, std::optional<store::Shard> shard);
-  std::map<uint32_t, store::Shard> TakeShards();
+  void Set(uint32_t number, std::optional<store::Shard> group);
+  // The same groups in another layout.
+  void Divide(store::Layout layout);
+
+  // What is stored, wholes and parts. A part counts instead of what its whole says of its tasks.
+  void NoteStored(const store::ParsedKey& key, bool there);
+  bool PartStored(uint32_t number) const { return parts_.contains(number); }
+  bool WholeStored(uint32_t whole) const { return wholes_.contains(whole); }
+  // The key under which a group is written.
+  std::string KeyOf(const std::string& id, uint32_t number) const;
+  // The keys that hold something of a group, wholes first.
+  std::vector<std::string> StoredKeys(const std::string& id, uint32_t number) const;
+  std::vector<std::string> StoredKeys(const std::string& id) const;
+  // Wholes of which every task is in a stored part, or was never placed.
+  std::vector<std::string> Superseded(const std::string& id) const;
 
   uint32_t done() const { return done_; }
   uint32_t placed() const { return placed_; }
-  // Tasks that are neither done nor placed.
-  uint32_t waiting() const { return spec.tasks - done_ - placed_; }
-  wire::JobStatus Status() const;
-  // Mean run time on a machine type; nothing before the first finish there.
-  std::optional<double> MeanRun(const std::string& flavor) const;
-  std::optional<double> MeanRun() const;  // over all types
+  const std::map<std::string, store::RunStats>& runs() const { return runs_; }
+  const store::RunStats& all_runs() const { return all_runs_; }
 
  private:
   void Count(const store::Shard& shard, bool add);
 
-  std::map<uint32_t, store::Shard> shards_;
+  store::Layout layout_;
+  std::map<uint32_t, store::Shard> groups_;
+  std::set<uint32_t> wholes_;
+  std::set<uint32_t> parts_;  // by number; only where wholes have several
   // Sums over the groups, kept as they change: every round asks for them many times over.
   uint32_t done_ = 0;
   uint32_t placed_ = 0;
@@ -44,6 +59,34 @@
   store::RunStats all_runs_;
 };
 
+struct Job {
+  explicit Job(Groups g) : groups(std::move(g)) {}
+
+  wire::JobSpec spec;
+  double submitted = 0;
+  bool common_layout = true;  // its record names no group size
+  // By its own record, or because it needs a job that is: it never starts anything again.
+  bool cancelled = false;
+  // Of what else other jobs mean for it; see Pipelines::View.
+  bool held = false;
+  double since = 0;
+  wire::Urgency urgency = wire::Urgency::kNormal;
+  double due = 0;
+
+  Groups groups;
+  const std::map<uint32_t, store::Shard>& shards() const { return groups.all(); }
+  uint32_t done() const { return groups.done(); }
+  uint32_t placed() const { return groups.placed(); }
+  // Tasks that are neither done nor placed.
+  uint32_t waiting() const { return spec.tasks - done() - placed(); }
+  // Of a task that was ever placed and is not done.
+  const store::TaskState* FindOpen(uint32_t index) const;
+  wire::JobStatus Status() const;
+  // Mean run time on a machine type; nothing before the first finish there.
+  std::optional<double> MeanRun(const std::string& flavor) const;
+  std::optional<double> MeanRun() const;  // over all types
+};
+
 // What a round wants written about one task.
 struct Mutation {
   enum class Kind { kPlace, kRequeue, kDone };
@@ -59,10 +102,15 @@
 
 class Ledger {
  public:
-  explicit Ledger(uint32_t tasks_per_shard) : tasks_per_shard_(tasks_per_shard) {}
+  explicit Ledger(uint32_t tasks_per_shard) : common_{tasks_per_shard, 1} {}
 
   // Takes in a change of the state service. An empty value: the key was dropped.
   void Apply(const store::ParsedKey& key, const std::string& value);
+  // How an awaited job ended: read for it, or written by this node.
+  void NoteFinal(const std::string& id, const store::FinalRecord& r);
+  const Pipelines& pipelines() const { return pipelines_; }
+  // The layout of jobs whose records name none.
+  const store::Layout& common_layout() const { return common_; }
 
   const std::unordered_map<std::string, Job>& all() const { return jobs_; }
   const Job* Find(const std::string& id) const;
@@ -70,26 +118,33 @@
   const std::unordered_map<std::string, Placements>& by_machine() const { return by_machine_; }
   const Placements& On(const std::string& machine) const;
 
-  uint32_t ShardOf(uint32_t index) const { return index / tasks_per_shard_; }
-  uint32_t Shards(const Job& job) const { return ShardOf(job.spec.tasks - 1) + 1; }
   // Task numbers that wait, lowest first, at most `limit`.
   std::vector<uint32_t> Waiting(const Job& job, size_t limit) const;
   uint64_t NextAttempt(const Job& job, uint32_t index) const;
 
   // Writes a mutation into a copy of its shard. False if the records have moved on meanwhile.
   bool Change(const Job& job, const Mutation& m, store::Shard* shard) const;
-  // Shards of jobs that are final already: left behind where one transaction could not drop all.
-  std::vector<std::string> Orphans() const;
+  // Keys that nothing needs any more: of jobs that are final already, where one transaction could
+  // not drop all, and wholes that were carried over to parts.
+  std::vector<std::string> Leftovers() const;
 
  private:
   // Brings by_machine_ from what a group held before to what it holds now; null: nothing.
   void Index(const std::string& job, const store::Shard* before, const store::Shard* after);
   void Unplace(const std::string& job, uint32_t index, const std::string& machine);
-
-  const uint32_t tasks_per_shard_;
+  void ApplyJob(const std::string& id, const std::string& value);
+  void ApplyShard(const store::ParsedKey& key, const std::string& value);
+  void SetGroup(const std::string& id, Groups& groups, uint32_t number,
+                std::optional<store::Shard> group);
+  void SetCommonLayout(const store::Layout& layout);
+  // Brings jobs up to what the pipelines now say of them.
+  void UpdateViews();
+
+  store::Layout common_;
   std::unordered_map<std::string, Job> jobs_;
-  std::map<std::string, std::map<uint32_t, store::Shard>> orphans_;
+  std::map<std::string, Groups> orphans_;
   std::unordered_map<std::string, Placements> by_machine_;
+  Pipelines pipelines_;
 };
 
 }  // namespace hallpier::jobs
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -76,7 +76,7 @@
     for (size_t i = 0; i < waiters_.size() && left > 0;) {
       size_t j = i;
       while (j < waiters_.size() && waiters_[j].tier == waiters_[i].tier) ++j;
-      if (!reserved && waiters_[i].job->spec.urgency > wire::Urgency::kUrgent) {
+      if (!reserved && waiters_[i].job->urgency > wire::Urgency::kUrgent) {
         ReservePrompt();
         reserved = true;
       }
@@ -92,7 +92,7 @@
   void SortJobs() {
     for (const auto& [id, job] : ledger_.all()) jobs_.push_back(&job);
     std::sort(jobs_.begin(), jobs_.end(), [](const jobs::Job* a, const jobs::Job* b) {
-      return std::tie(a->submitted, a->spec.id) < std::tie(b->submitted, b->spec.id);
+      return std::tie(a->since, a->spec.id) < std::tie(b->since, b->spec.id);
     });
   }
 
@@ -196,7 +196,8 @@
       teams[team].gpus_left += room.gpus;
     }
     for (const jobs::Job* job : jobs_) {
-      if (job->cancelled) continue;
+      // Who waits for other jobs holds no part of a guarantee, and makes nobody rent.
+      if (job->cancelled || job->held) continue;
       TeamState& s = teams[job->spec.team];
       const config::Team* team = context_.settings->FindTeam(job->spec.team);
       const double unfinished = job->spec.tasks - job->done();
@@ -239,9 +240,9 @@
   // waited for as long as a machine takes to boot goes before all that is beyond a guarantee: else
   // a swarm of another team's urgent work could keep a team from what it is owed.
   int TierOf(const jobs::Job& job, bool within) const {
-    int urgency = static_cast<int>(job.spec.urgency);
-    const bool urgent = job.spec.urgency <= wire::Urgency::kUrgent;
-    if (job.spec.urgency == wire::Urgency::kBestEffort && Pressing(job)) --urgency;
+    int urgency = static_cast<int>(job.urgency);
+    const bool urgent = job.urgency <= wire::Urgency::kUrgent;
+    if (job.urgency == wire::Urgency::kBestEffort && Pressing(job)) --urgency;
     if (within && urgent) return urgency;
     if (Overdue(job, within)) return 2;
     return 3 + 2 * urgency + (within ? 0 : 1);
@@ -254,7 +255,7 @@
   size_t StarvedTasks(const jobs::Job& job) {
     const bool begun = job.done() + job.placed() > 0;
     const double bound = (begun ? 2 : 1) * context_.operators->starve_s;
-    if (wall_now_ - job.submitted < bound) return 0;
+    if (wall_now_ - job.since < bound) return 0;
     const double need = std::max(job.spec.cpus, kLeastCpus);
     const double room = context_.operators->starve_share * total_cpus_ - starved_cpus_ -
                         static_cast<double>(job.placed()) * need;
@@ -267,7 +268,7 @@
   }
 
   bool Overdue(const jobs::Job& job, bool within) const {
-    return within && wall_now_ - job.submitted > BootTime();
+    return within && wall_now_ - job.since > BootTime();
   }
 
   // Work of the lowest rank moves up once it has waited for a set part of its aim: a steady stream
@@ -275,8 +276,7 @@
   // counts.
   bool Pressing(const jobs::Job& job) const {
     const config::Objective* o = context_.settings->FindObjective("finished", job.spec.lane);
-    return o != nullptr &&
-           wall_now_ - job.submitted > context_.operators->patience_ratio * o->within_s;
+    return o != nullptr && wall_now_ - job.since > context_.operators->patience_ratio * o->within_s;
   }
 
   // Within a tier: jobs with little left go first, since that ends the most jobs in time; those
@@ -287,7 +287,7 @@
     const double left = static_cast<double>(job.spec.tasks - job.done()) * run * job.spec.cpus;
     const double unit = 10 * context_.settings->report_s;
     int band = std::clamp(static_cast<int>(std::log2(left / unit + 1) / 2), 0, kBands / 2 - 1);
-    const double age = wall_now_ - job.submitted;
+    const double age = wall_now_ - job.since;
     // A lane may have several aims: the nearest that can still be met counts.
     double first = 0, next = 0;
     for (const config::Objective& o : context_.settings->objectives) {
@@ -342,7 +342,7 @@
     tc.count = w.count;
     // Whole machines stay free for large tasks; what is urgent starts faster where little else
     // does.
-    tc.pack = spec.urgency > wire::Urgency::kUrgent;
+    tc.pack = w.job->urgency > wire::Urgency::kUrgent;
     tc.one_zone = spec.one_zone;
     std::map<const wire::Flavor*, double> runs;
     for (const wire::Flavor& f : context_.flavors) runs[&f] = PredictRun(*w.job, f.name);
@@ -507,7 +507,7 @@
   bool MayStop(const Waiter& w, const Victim& v) const {
     // Who comes first in the order would get the room again, and be stopped again.
     if (v.tier <= w.tier / kBands) return false;
-    if (v.job->spec.urgency > w.job->spec.urgency) return true;
+    if (v.job->urgency > w.job->urgency) return true;
     return Overdue(*w.job, w.guaranteed) && v.job->spec.team != w.job->spec.team &&
            !guaranteed_.contains(v.job);
   }
@@ -523,10 +523,10 @@
   double Patience(const Waiter& w) const {
     const wire::JobSpec& spec = w.job->spec;
     const double soon = Reaction();
-    if (spec.urgency > wire::Urgency::kUrgent) return BootTime();
+    if (w.job->urgency > wire::Urgency::kUrgent) return BootTime();
     const config::Objective* o = context_.settings->FindObjective("wait", spec.lane);
     if (o == nullptr) return 2 * soon;
-    return std::max(soon, o->within_s - std::max(0.0, wall_now_ - w.job->submitted) - soon);
+    return std::max(soon, o->within_s - std::max(0.0, wall_now_ - w.job->since) - soon);
   }
 
   struct Stop {
@@ -573,7 +573,7 @@
   // for the class, and again only after it has given something up.
   void Preempt(const Waiter& w, const TaskClass& tc, std::vector<Later> laters) {
     // Only who comes first in the order keeps the room that is made.
-    if (w.job->spec.urgency > wire::Urgency::kUrgent && !Overdue(*w.job, w.guaranteed)) return;
+    if (w.job->urgency > wire::Urgency::kUrgent && !Overdue(*w.job, w.guaranteed)) return;
     const double patience = Patience(w);
     std::erase_if(laters, [&](const Later& l) { return l.start <= patience; });
     if (laters.empty()) return;
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -48,19 +48,32 @@
 Client::Client(rt::Scope& scope, Options options)
     : scope_(scope),
       options_(std::move(options)),
+      share_(kShareUsed / options_.size),
       http_(16, options_.max_body),
-      requests_(options_.rps * kShareUsed / options_.size, 1.0, kReserve),
-      writes_(options_.write_rps * kShareUsed / options_.size, 1.0, kReserve) {}
+      requests_(options_.rps * share_, 1.0, kReserve),
+      writes_(options_.write_rps * share_, 1.0, kReserve) {}
 
 void Client::SetLeading(bool leading) {
   if (options_.size <= 1) return;
-  const double share =
-      kShareUsed * (leading ? kLeaderShare : (1 - kLeaderShare) / (options_.size - 1));
-  requests_.SetRate(options_.rps * share, 1.0);
-  writes_.SetRate(options_.write_rps * share, 1.0);
+  share_ = kShareUsed * (leading ? kLeaderShare : (1 - kLeaderShare) / (options_.size - 1));
+  SetRates();
+}
+
+void Client::SetRates() {
+  const bool lower = lowered_ && options_.next_rps > 0;
+  requests_.SetRate((lower ? options_.next_rps : options_.rps) * share_, 1.0);
+  writes_.SetRate((lower ? options_.next_write_rps : options_.write_rps) * share_, 1.0);
+}
+
+void Client::NoteLimits(const std::optional<wire::HttpResponse>& r) {
+  if (!r || r->status != 429 || !may_be_lowered_ || lowered_ || options_.next_rps <= 0) return;
+  spdlog::info("state service: its limits are lower from now on");
+  lowered_ = true;
+  SetRates();
 }
 
 void Client::Note(const std::optional<wire::HttpResponse>& r) {
+  NoteLimits(r);
   const bool good = r && r->status != 503 && r->status != 429;
   if (good) {
     if (failures_ >= 2) {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -36,6 +36,9 @@
     std::string endpoint;
     double rps = 0;
     double write_rps = 0;
+    // What the service may go down to without notice; 0: nothing is known of that.
+    double next_rps = 0;
+    double next_write_rps = 0;
     int size = 1;          // nodes that share the limits
     double timeout_s = 1;  // of one call
     size_t max_body = 0;
@@ -48,6 +51,9 @@
   // The leader writes more than the others; each takes its share of what all may use.
   void SetLeading(bool leading);
   void SetRelay(Relay relay) { relay_ = std::move(relay); }
+  // From here on the limits may be lowered at any moment: the first refusal for the rate says that
+  // they have been, and what they allow is kept to from then on.
+  void ExpectLowered() { may_be_lowered_ = true; }
 
   rt::Task<Result<wire::Entry>> Get(std::string key, Urgent urgent = Urgent::kNo);
   rt::Task<Result<wire::EntryList>> List(std::string prefix, std::string after);
@@ -66,6 +72,8 @@
   rt::Task<Result<bool>> End(uint64_t permit);
   rt::Task<Result<wire::ChangeList>> Follow(std::string prefix, uint64_t revision, double block_s);
 
+  // True once the service has refused what only the lower limits forbid.
+  bool lowered() const { return lowered_; }
   // True while the newest calls went unanswered or refused.
   bool down() const { return failures_ >= 2; }
   // A call without a wait of its own is answered by then, or never.
@@ -80,8 +88,15 @@
   // Counts an answer, or none, for down().
   void Note(const std::optional<wire::HttpResponse>& r);
 
+  // Looks for a refusal that only the lowered limits explain.
+  void NoteLimits(const std::optional<wire::HttpResponse>& r);
+  void SetRates();
+
   rt::Scope& scope_;
   const Options options_;
+  double share_;  // of all limits that is this node's
+  bool may_be_lowered_ = false;
+  bool lowered_ = false;
   net::HttpClient http_;
   Budget requests_;
   Budget writes_;
--- /dev/null
+++ b/src/store/formats.cc
@@ -0,0 +1,94 @@
+#include "store/formats.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <random>
+
+namespace hallpier::store {
+
+Layout CommonLayout(const config::Settings& settings) {
+  const uint32_t whole = TasksPerShard(settings.value_kb);
+  const uint32_t fit = TasksPerPacked(settings.least().value_kb);
+  return {whole, (whole + fit - 1) / fit};
+}
+
+Formats::Formats(rt::Scope& scope, const config::Settings& settings, Client& client,
+                 Replica& replica)
+    : scope_(scope), settings_(settings), client_(client), replica_(replica) {}
+
+size_t Formats::value_bytes() const {
+  const double kb = packed() ? settings_.least().value_kb : settings_.value_kb;
+  return static_cast<size_t>(kb * 1024);
+}
+
+int Formats::txn_ops() const { return packed() ? settings_.least().txn_ops : settings_.txn_ops; }
+
+uint32_t Formats::group() const {
+  return packed() ? TasksPerPacked(settings_.least().value_kb) : 0;
+}
+
+void Formats::OnMark(const std::string& node, const std::string& value) {
+  if (ReadMark(value) >= kFormat) {
+    marked_.insert(node);
+  } else {
+    marked_.erase(node);
+  }
+  wake_.Notify();
+}
+
+void Formats::OnRecord(const std::string& value) {
+  auto record = ReadFormat(value);
+  if (!record || record_) return;
+  record_ = record;
+  client_.ExpectLowered();
+  spdlog::info("formats: {} from now on; a node of an older version can't come back", kFormat);
+  wake_.Notify();
+}
+
+void Formats::Prove(const std::string& why) {
+  if (packed() || !proof_.empty()) return;
+  spdlog::info("formats: every node is new: {}", why);
+  proof_ = why;
+  wake_.Notify();
+}
+
+bool Formats::AllMarked() const {
+  return marked_.contains(settings_.node) &&
+         std::all_of(settings_.seeds.begin(), settings_.seeds.end(),
+                     [&](const config::Seed& s) { return marked_.contains(s.node); });
+}
+
+rt::Task<bool> Formats::Record(std::string key, std::string value) {
+  // Whoever comes second finds it there: nothing is ever written over.
+  std::vector<wire::Guard> guards = {{key, 0}};
+  std::vector<wire::Write> writes = {{key, value, 0}};
+  auto r = co_await client_.Txn(std::move(guards), std::move(writes), Urgent::kYes);
+  if (r.ok()) replica_.Apply(key, value, r.value.revision);
+  co_return r.ok();
+}
+
+rt::Task<> Formats::Run() {
+  std::mt19937 random{std::random_device{}()};
+  // Nodes that see the last mark at the same moment do not all try at once.
+  std::uniform_real_distribution<double> pause(0.1 * settings_.report_s, 0.3 * settings_.report_s);
+  while (!scope_.cancelled() && !packed()) {
+    const bool known = replica_.loaded();
+    if (known && !marked_.contains(settings_.node)) {
+      co_await Record(MarkKey(settings_.node), WriteMark());
+    } else if (known && (AllMarked() || !proof_.empty())) {
+      co_await Record(FormatKey(), WriteFormat({kFormat, CommonLayout(settings_)}));
+    }
+    if (packed() || scope_.cancelled()) break;
+    const bool more = !known || !marked_.contains(settings_.node) || AllMarked() || !proof_.empty();
+    if (more) {
+      rt::Sleep rest(scope_, pause(random));
+      co_await rest;
+    } else {
+      auto wait = wake_.Await(scope_, settings_.report_s);
+      co_await wait;
+    }
+  }
+}
+
+}  // namespace hallpier::store
--- /dev/null
+++ b/src/store/formats.h
@@ -0,0 +1,60 @@
+// From when on records may be written in forms that versions without pipelines can't read.
+//
+// Each node records that it reads them. Once all nodes of the settings have, the change is recorded
+// for the whole service, once and for good; whoever leads later finds it there. Until that record
+// is read here, this node writes what the version before reads and keeps, and nothing else.
+//
+// Two things prove without such records that every node is new, as the operators promise: a
+// submission that awaits others, and a refusal that only the lowered limits explain.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "config/settings.h"
+#include "rt/loop.h"
+#include "store/client.h"
+#include "store/replica.h"
+#include "store/schema.h"
+
+namespace hallpier::store {
+
+class Formats {
+ public:
+  Formats(rt::Scope& scope, const config::Settings& settings, Client& client, Replica& replica);
+
+  // The routine that records what this node reads, and the change once all do.
+  rt::Task<> Run();
+  void OnMark(const std::string& node, const std::string& value);
+  void OnRecord(const std::string& value);
+  // Something has shown that every node is new, whatever is recorded.
+  void Prove(const std::string& why);
+
+  // True once the newer forms may be written.
+  bool packed() const { return record_.has_value(); }
+  // What a record may hold now, so that the lowering of the limits finds nothing too large.
+  size_t value_bytes() const;
+  int txn_ops() const;
+  // Tasks in a group of a new job; 0: as the versions before reckon.
+  uint32_t group() const;
+
+ private:
+  bool AllMarked() const;
+  rt::Task<bool> Record(std::string key, std::string value);
+
+  rt::Scope& scope_;
+  const config::Settings& settings_;
+  Client& client_;
+  Replica& replica_;
+  std::set<std::string> marked_;  // nodes that read this format
+  std::optional<FormatRecord> record_;
+  std::string proof_;
+  rt::Event wake_;
+};
+
+// The layout that jobs without one of their own have after the change: groups as the versions
+// before divide tasks, each in as many parts as it takes to fit the smaller of the limits.
+Layout CommonLayout(const config::Settings& settings);
+
+}  // namespace hallpier::store
--- a/src/store/schema.cc
+++ b/src/store/schema.cc
@@ -1,6 +1,5 @@
 #include "store/schema.h"
 
-#include <algorithm>
 #include <charconv>
 #include <cstdio>
 
@@ -9,11 +8,8 @@
 
 constexpr std::string_view kJobs = "hallpier/a/j/";
 constexpr std::string_view kShards = "hallpier/a/t/";
+constexpr std::string_view kMarks = "hallpier/a/node/";
 constexpr std::string_view kFinals = "hallpier/f/";
-// Bytes that an open task is allowed on average: its number and a machine's name of its own.
-constexpr double kTaskBytes = 22;
-// Part of a value that open tasks may fill.
-constexpr double kOpenShare = 0.9;
 
 std::optional<uint32_t> ParseIndex(std::string_view s) {
   uint32_t n = 0;
@@ -30,6 +26,13 @@
 std::string JobKey(std::string_view id) { return std::string(kJobs).append(id); }
 std::string FinalKey(std::string_view id) { return std::string(kFinals).append(id); }
 
+std::string FormatKey() { return std::string(kActive) + "format"; }
+std::string MarkKey(std::string_view node) { return std::string(kMarks).append(node); }
+
+std::string PartKey(std::string_view id, uint32_t shard, uint32_t part) {
+  return ShardKey(id, shard) + "." + std::to_string(part);
+}
+
 std::string ShardKey(std::string_view id, uint32_t shard) {
   char number[16];
   std::snprintf(number, sizeof(number), "/%05u", shard);
@@ -44,13 +47,28 @@
     out.kind = KeyKind::kBlock;
   } else if (key == FlavorsKey()) {
     out.kind = KeyKind::kFlavors;
+  } else if (key == FormatKey()) {
+    out.kind = KeyKind::kFormat;
+  } else if (key.starts_with(kMarks)) {
+    out.kind = KeyKind::kMark;
+    out.job = key.substr(kMarks.size());
+  } else if (key.starts_with(kFinals)) {
+    out.kind = KeyKind::kFinal;
+    out.job = key.substr(kFinals.size());
   } else if (key.starts_with(kJobs)) {
     out.kind = KeyKind::kJob;
     out.job = key.substr(kJobs.size());
   } else if (key.starts_with(kShards)) {
     std::string_view rest = key.substr(kShards.size());
-    size_t slash = rest.find('/');
-    auto n = slash == std::string_view::npos ? std::nullopt : ParseIndex(rest.substr(slash + 1));
+    const size_t slash = rest.find('/');
+    if (slash == std::string_view::npos) return out;
+    std::string_view number = rest.substr(slash + 1);
+    if (const size_t dot = number.find('.'); dot != std::string_view::npos) {
+      out.part = ParseIndex(number.substr(dot + 1));
+      if (!out.part) return out;
+      number = number.substr(0, dot);
+    }
+    auto n = ParseIndex(number);
     if (!n) return out;
     out.kind = KeyKind::kShard;
     out.job = rest.substr(0, slash);
@@ -59,28 +77,6 @@
   return out;
 }
 
-bool IndexSet::Contains(uint32_t i) const {
-  auto it = ranges_.upper_bound(i);
-  if (it == ranges_.begin()) return false;
-  return std::prev(it)->second >= i;
-}
-
-void IndexSet::Insert(uint32_t i) {
-  if (Contains(i)) return;
-  ++size_;
-  uint32_t last = i;
-  auto next = ranges_.upper_bound(i);
-  if (next != ranges_.end() && next->first == i + 1) {
-    last = next->second;
-    next = ranges_.erase(next);
-  }
-  if (next != ranges_.begin() && std::prev(next)->second + 1 == i) {
-    std::prev(next)->second = last;
-  } else {
-    ranges_[i] = last;
-  }
-}
-
 std::string WriteJob(const JobRecord& job) {
   wire::JsonWriter w;
   w.StartObject();
@@ -88,10 +84,25 @@
   wire::WriteJobSpec(w, job.spec);
   w.Field("at").Double(job.submitted);
   if (job.cancelled) w.Field("cancelled").Bool(true);
+  if (job.group > 0) w.Field("group").Uint(job.group);
   w.EndObject();
   return w.Take();
 }
 
+std::string WriteCancelled(JobRecord job, size_t value_bytes) {
+  job.cancelled = true;
+  std::string value = WriteJob(job);
+  if (value.size() <= value_bytes) return value;
+  // Nothing of it is ever placed again, and who awaits it names it, not the other way round. Its
+  // team, size and groups still count for what is on machines.
+  const std::string none = "-";
+  job.spec.flavors.clear();
+  job.spec.awaits.clear();
+  job.spec.zone.clear();
+  job.spec.lane = job.spec.image = none;
+  return WriteJob(job);
+}
+
 std::optional<JobRecord> ReadJob(std::string_view json) {
   auto d = wire::ParseObject(json);
   if (!d) return std::nullopt;
@@ -104,105 +115,18 @@
   job.spec = std::move(*s);
   job.submitted = wire::GetAmount(*d, "at").value_or(0);
   job.cancelled = wire::GetFlag(*d, "cancelled").value_or(false);
+  const uint64_t group = wire::GetCount(*d, "group").value_or(0);
+  if (group > wire::kMaxPieces) return std::nullopt;
+  job.group = static_cast<uint32_t>(group);
   return job;
 }
 
-uint32_t Shard::placed() const {
-  return static_cast<uint32_t>(std::count_if(
-      open.begin(), open.end(), [](const auto& entry) { return !entry.second.machine.empty(); }));
-}
-
-std::string WriteShard(const Shard& shard) {
-  wire::JsonWriter w;
-  w.StartObject();
-  w.Field("done").StartArray();
-  for (const auto& [first, last] : shard.done.ranges()) {
-    w.Uint(first);
-    w.Uint(last);
-  }
-  w.EndArray();
-  std::map<std::string_view, std::vector<std::pair<uint32_t, uint64_t>>> by_machine;
-  for (const auto& [index, task] : shard.open) {
-    by_machine[task.machine].emplace_back(index, task.attempt);
-  }
-  w.Field("on").StartObject();
-  for (const auto& [machine, tasks] : by_machine) {
-    w.Key(machine.data(), static_cast<rapidjson::SizeType>(machine.size()));
-    w.StartArray();
-    for (const auto& [index, attempt] : tasks) {
-      w.Uint(index);
-      if (attempt != 1) w.Int64(-static_cast<int64_t>(attempt));
-    }
-    w.EndArray();
-  }
-  w.EndObject();
-  w.Field("runs").StartObject();
-  for (const auto& [flavor, stats] : shard.runs) {
-    w.Key(flavor.c_str());
-    w.StartArray();
-    w.Uint64(stats.count);
-    w.Double(stats.sum_s);
-    w.EndArray();
-  }
-  w.EndObject();
-  w.EndObject();
-  return w.Take();
-}
-
-std::optional<Shard> ReadShard(std::string_view json) {
-  auto d = wire::ParseObject(json);
-  if (!d) return std::nullopt;
-  Shard s;
-  const wire::JsonValue* done = wire::Find(*d, "done");
-  const wire::JsonValue* on = wire::Find(*d, "on");
-  if (done == nullptr || !done->IsArray() || done->Size() % 2 != 0 || on == nullptr ||
-      !on->IsObject()) {
-    return std::nullopt;
-  }
-  for (rapidjson::SizeType i = 0; i < done->Size(); i += 2) {
-    const auto& first = (*done)[i];
-    const auto& last = (*done)[i + 1];
-    if (!first.IsUint() || !last.IsUint() || last.GetUint() >= wire::kMaxPieces) {
-      return std::nullopt;
-    }
-    for (uint32_t n = first.GetUint(); n <= last.GetUint(); ++n) s.done.Insert(n);
-  }
-  for (const auto& m : on->GetObject()) {
-    if (!m.value.IsArray()) return std::nullopt;
-    const std::string machine(m.name.GetString(), m.name.GetStringLength());
-    TaskState* task = nullptr;
-    for (const auto& number : m.value.GetArray()) {
-      if (number.IsUint()) {
-        // A task that stands on two machines would be one that nobody can find again.
-        auto [it, fresh] = s.open.try_emplace(number.GetUint());
-        if (!fresh || number.GetUint() >= wire::kMaxPieces) return std::nullopt;
-        task = &it->second;
-        *task = {1, machine};
-      } else if (number.IsInt64() && task != nullptr && number.GetInt64() < 0) {
-        task->attempt = static_cast<uint64_t>(-(number.GetInt64() + 1)) + 1;
-        task = nullptr;
-      } else {
-        return std::nullopt;
-      }
-    }
-  }
-  if (const wire::JsonValue* runs = wire::Find(*d, "runs"); runs != nullptr && runs->IsObject()) {
-    for (const auto& m : runs->GetObject()) {
-      if (!m.value.IsArray() || m.value.Size() != 2 || !m.value[0].IsUint64() ||
-          !m.value[1].IsNumber()) {
-        return std::nullopt;
-      }
-      s.runs[m.name.GetString()] = {m.value[0].GetUint64(), m.value[1].GetDouble()};
-    }
-  }
-  return s;
-}
-
 std::string WriteFinal(const FinalRecord& r) {
   wire::JsonWriter w;
   w.StartObject();
   w.Field("phase").Text(wire::PhaseName(r.phase));
   w.Field("done").Uint64(r.done);
+  if (r.at > 0) w.Field("at").Double(r.at);
   w.EndObject();
   return w.Take();
 }
@@ -214,7 +138,8 @@
   if (!phase || (*phase != wire::Phase::kDone && *phase != wire::Phase::kCancelled)) {
     return std::nullopt;
   }
-  return FinalRecord{*phase, wire::GetCount(*d, "done").value_or(0)};
+  return FinalRecord{*phase, wire::GetCount(*d, "done").value_or(0),
+                     wire::GetAmount(*d, "at").value_or(0)};
 }
 
 std::string WriteLeader(const LeaderRecord& r) {
@@ -241,8 +166,40 @@
   return w.Take();
 }
 
-uint32_t TasksPerShard(double value_kb) {
-  return std::max(1u, static_cast<uint32_t>(value_kb * 1024 * kOpenShare / kTaskBytes));
+std::string WriteFormat(const FormatRecord& r) {
+  wire::JsonWriter w;
+  w.StartObject();
+  w.Field("format").Uint64(r.format);
+  w.Field("group").Uint(r.layout.whole);
+  w.Field("parts").Uint(r.layout.parts);
+  w.EndObject();
+  return w.Take();
+}
+
+std::optional<FormatRecord> ReadFormat(std::string_view json) {
+  auto d = wire::ParseObject(json);
+  if (!d) return std::nullopt;
+  auto format = wire::GetCount(*d, "format");
+  auto group = wire::GetCount(*d, "group");
+  auto parts = wire::GetCount(*d, "parts");
+  if (!format || !group || !parts || *group < 1 || *group > wire::kMaxPieces || *parts < 1 ||
+      *parts > *group) {
+    return std::nullopt;
+  }
+  return FormatRecord{*format, {static_cast<uint32_t>(*group), static_cast<uint32_t>(*parts)}};
+}
+
+std::string WriteMark() {
+  wire::JsonWriter w;
+  w.StartObject();
+  w.Field("format").Uint64(kFormat);
+  w.EndObject();
+  return w.Take();
+}
+
+uint64_t ReadMark(std::string_view json) {
+  auto d = wire::ParseObject(json);
+  return d ? wire::GetCount(*d, "format").value_or(0) : 0;
 }
 
 }  // namespace hallpier::store
--- a/src/store/schema.h
+++ b/src/store/schema.h
@@ -2,12 +2,11 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "store/shard.h"
 #include "wire/messages.h"
 
 namespace hallpier::store {
@@ -20,62 +19,39 @@
 std::string FlavorsKey();
 std::string JobKey(std::string_view id);
 std::string ShardKey(std::string_view id, uint32_t shard);
+std::string PartKey(std::string_view id, uint32_t shard, uint32_t part);
 std::string FinalKey(std::string_view id);
+std::string FormatKey();
+std::string MarkKey(std::string_view node);
 
-enum class KeyKind { kLeader, kBlock, kFlavors, kJob, kShard, kOther };
+enum class KeyKind { kLeader, kBlock, kFlavors, kFormat, kMark, kJob, kShard, kFinal, kOther };
 struct ParsedKey {
   KeyKind kind = KeyKind::kOther;
-  std::string job;
+  std::string job;  // kMark: the node
   uint32_t shard = 0;
+  std::optional<uint32_t> part;  // of the shard; nothing: the whole
 };
 ParsedKey ParseKey(std::string_view key);
 
-// A set of task numbers, kept as ranges.
-class IndexSet {
- public:
-  bool Contains(uint32_t i) const;
-  void Insert(uint32_t i);
-  uint32_t size() const { return size_; }
-  // first -> last, both included
-  const std::map<uint32_t, uint32_t>& ranges() const { return ranges_; }
-
- private:
-  std::map<uint32_t, uint32_t> ranges_;
-  uint32_t size_ = 0;
-};
-
+// A field that is not set is not written: a record without any of the newer ones is, byte for byte,
+// what versions without pipelines write.
 struct JobRecord {
   wire::JobSpec spec;
   double submitted = 0;  // time of day
   bool cancelled = false;
+  uint32_t group = 0;  // tasks in a group; 0: as the format record says, for all such jobs
 };
 std::string WriteJob(const JobRecord& job);
+// The record of a job that is cancelled, within `value_bytes`: what only a job that may yet run
+// needs is left out where there is no room for it. A cancellation must be recordable whatever the
+// limits have become since.
+std::string WriteCancelled(JobRecord job, size_t value_bytes);
 std::optional<JobRecord> ReadJob(std::string_view json);
 
-struct TaskState {
-  uint64_t attempt = 0;  // the newest that was ever recorded
-  std::string machine;   // empty: waiting
-  bool operator==(const TaskState&) const = default;
-};
-
-struct RunStats {
-  uint64_t count = 0;
-  double sum_s = 0;
-};
-
-// Many tasks of a job in one value. Tasks that are neither done nor open were never placed.
-struct Shard {
-  IndexSet done;
-  std::map<uint32_t, TaskState> open;
-  std::map<std::string, RunStats> runs;  // by machine type
-  uint32_t placed() const;
-};
-std::string WriteShard(const Shard& shard);
-std::optional<Shard> ReadShard(std::string_view json);
-
 struct FinalRecord {
   wire::Phase phase = wire::Phase::kDone;
   uint64_t done = 0;
+  double at = 0;  // time of day when it was recorded; 0: not known
 };
 std::string WriteFinal(const FinalRecord& r);
 std::optional<FinalRecord> ReadFinal(std::string_view json);
@@ -88,8 +64,18 @@
 std::optional<LeaderRecord> ReadLeader(std::string_view json);
 std::string WriteBlock(std::string_view holder);
 
-// How many tasks share a value, so that with names of usual length the largest record stays within
-// `value_kb`. Where names are longer, placements that no longer fit wait (jobs::BuildTxns).
-uint32_t TasksPerShard(double value_kb);
+// The newest format that this version reads and writes, as nodes record it for themselves and, once
+// all have, for the whole service.
+inline constexpr uint64_t kFormat = 2;
+struct FormatRecord {
+  uint64_t format = kFormat;
+  // Of jobs whose record names no group size.
+  Layout layout;
+};
+std::string WriteFormat(const FormatRecord& r);
+std::optional<FormatRecord> ReadFormat(std::string_view json);
+std::string WriteMark();
+// The format that a node's mark names; 0 if it can't be read.
+uint64_t ReadMark(std::string_view json);
 
 }  // namespace hallpier::store
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -204,6 +204,16 @@
   s.snapshot_every_s = r.Amount("snapshotEveryS", 0);
   s.snapshot_s = r.Amount("snapshotS", 0);
   if (Find(v, "dueS") != nullptr) s.due_s = r.Amount("dueS", 0);
+  if (const JsonValue* list = Find(v, "awaits")) {
+    s.awaits = ReadTexts(list);
+    if (!list->IsArray() || s.awaits.size() != list->Size() ||
+        !std::all_of(s.awaits.begin(), s.awaits.end(), IsJobId)) {
+      r.Fail("awaits", "must be null or a list of job ids");
+    }
+    // One that is named twice is awaited once.
+    std::sort(s.awaits.begin(), s.awaits.end());
+    s.awaits.erase(std::unique(s.awaits.begin(), s.awaits.end()), s.awaits.end());
+  }
   if (!r.ok()) return std::nullopt;
   return s;
 }
@@ -234,6 +244,11 @@
   w.Field("snapshotEveryS").Double(s.snapshot_every_s);
   w.Field("snapshotS").Double(s.snapshot_s);
   if (s.due_s > 0) w.Field("dueS").Double(s.due_s);
+  if (!s.awaits.empty()) {
+    w.Field("awaits").StartArray();
+    for (const auto& id : s.awaits) w.Text(id);
+    w.EndArray();
+  }
   w.EndObject();
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -44,7 +44,8 @@
   double estimate_s = 0;
   double snapshot_every_s = 0;
   double snapshot_s = 0;
-  double due_s = 0;  // 0: no deadline
+  double due_s = 0;                 // 0: no deadline
+  std::vector<std::string> awaits;  // jobs that have to be done before any task starts
 
   bool AllowsFlavor(std::string_view flavor) const;
 };
--- a/tests/fixtures.h
+++ b/tests/fixtures.h
@@ -28,7 +28,7 @@
 inline void PutJob(jobs::Ledger& ledger, const wire::JobSpec& spec, double submitted = 1,
                    bool cancelled = false) {
   ledger.Apply(store::ParseKey(store::JobKey(spec.id)),
-               store::WriteJob({spec, submitted, cancelled}));
+               store::WriteJob({spec, submitted, cancelled, 0}));
 }
 
 inline void PutShard(jobs::Ledger& ledger, const std::string& id, uint32_t number,
@@ -39,7 +39,7 @@
 inline void Place(jobs::Ledger& ledger, const std::string& id, uint32_t index, uint64_t attempt,
                   const std::string& machine) {
   const jobs::Job* job = ledger.Find(id);
-  const uint32_t number = ledger.ShardOf(index);
+  const uint32_t number = job->groups.layout().GroupOf(index);
   store::Shard shard;
   if (auto it = job->shards().find(number); it != job->shards().end()) shard = it->second;
   shard.open[index] = {attempt, machine};
--- a/tests/jobs_test.cc
+++ b/tests/jobs_test.cc
@@ -21,7 +21,7 @@
   return m;
 }
 
-const BatchLimits kLimits = {8, "block", 5, 0, 0};
+const BatchLimits kLimits = {8, "block", 5, 0, 0, false, 0};
 
 TEST(IndexSet, MergesRanges) {
   store::IndexSet s;
@@ -194,11 +194,11 @@
   PutJob(ledger, Spec("run-1", 40));
   Place(ledger, "run-1", 9, 1, "");
   ledger.Apply(store::ParseKey(store::JobKey("run-1")), "");
-  auto orphans = ledger.Orphans();
+  auto orphans = ledger.Leftovers();
   ASSERT_EQ(orphans.size(), 1u);
   EXPECT_EQ(orphans[0], store::ShardKey("run-1", 2));
   ledger.Apply(store::ParseKey(orphans[0]), "");
-  EXPECT_TRUE(ledger.Orphans().empty());
+  EXPECT_TRUE(ledger.Leftovers().empty());
 }
 
 TEST(Ledger, HandsOutTasksInOrderWithGrowingAttempts) {
