--- /dev/null
+++ b/tests/end_to_end.h
@@ -0,0 +1,199 @@
+// Whole controllers on loopback against stand-ins, for tests that need them.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <map>
+#include <set>
+
+#include "app/controller.h"
+#include "fixtures.h"
+#include "standins/standins.h"
+
+namespace hallpier::testing_support {
+
+inline constexpr double kReport = 0.2;
+
+class EndToEnd : public testing::Test {
+ protected:
+  EndToEnd() : scope_(loop_), client_(4, 1 << 20) {}
+
+  ~EndToEnd() override {
+    // Everything ends in order; whatever kept a routine from that would hang here.
+    size_t left = nodes_.size() - ended_.size();
+    auto ended = [&] {
+      if (--left == 0) loop_.Stop();
+    };
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (!ended_.contains(i)) nodes_[i]->Shutdown(ended);
+    }
+    if (left > 0) loop_.Run();
+    scope_.Cancel();
+    scope_.Spawn(StopWhenAlone());
+    loop_.Run();
+  }
+
+  rt::Task<> StopWhenAlone() {
+    while (scope_.live() > 1) {
+      rt::Sleep turn(idle_, 0);
+      co_await turn;
+    }
+    loop_.Stop();
+  }
+
+  // Ends the newest process of a node.
+  void End(int node) {
+    ended_.insert(newest_.at(node));
+    nodes_[newest_.at(node)]->Shutdown([] {});
+  }
+
+  // Ports of this process and test, so that tests may run side by side.
+  std::string At(int n) const { return "127.0.0.1:" + std::to_string(base_ + n); }
+
+  config::Settings NodeSettings(int i, int count) {
+    config::Settings s = SettingsOf();
+    s.node = "node-" + std::to_string(i);
+    s.listen = At(2 * i);
+    s.peer_bind = At(2 * i + 1);
+    for (int j = 0; j < count; ++j) {
+      if (j != i) s.seeds.push_back({"node-" + std::to_string(j), "a", At(2 * j + 1)});
+    }
+    s.size = count;
+    s.state = i == apart_ ? At(22) : At(20);
+    // The node that stands apart has no links to the others, nor they to it.
+    if (i == apart_) {
+      for (auto& seed : s.seeds) seed.endpoint = At(23);
+    } else {
+      for (auto& seed : s.seeds) {
+        if (seed.node == "node-" + std::to_string(apart_)) seed.endpoint = At(23);
+      }
+    }
+    s.cloud = At(21);
+    s.report_s = kReport;
+    s.lease_s = 3;
+    s.list_lag_s = 0.1;
+    s.cloud_rps = 50;
+    s.state_rps = state_rps_;
+    s.state_write_rps = 500;
+    s.state_next = state_next_;
+    s.teams.push_back({"other", 0, 0, 0, 0});
+    return s;
+  }
+
+  void Start(int count) {
+    StartServices(count);
+    // The one that stands apart is alone at first, so that it leads.
+    StartNodes(0, apart_ >= 0 ? 1 : count, count);
+  }
+
+  void StartServices(int count) {
+    std::string error;
+    standins::Cloud::Options options;
+    for (int i = 0; i < count; ++i) {
+      options.controllers.push_back(At(2 * i));
+      options.nodes.push_back("node-" + std::to_string(i));
+    }
+    options.report_s = kReport;
+    options.lease_s = 3;
+    options.run_s = run_s_;
+    options.first_port = base_ + 30;
+    state_ = std::make_unique<standins::State>(scope_);
+    cloud_ = std::make_unique<standins::Cloud>(scope_, options);
+    ASSERT_TRUE(state_->Listen(At(20), &error)) << error;
+    ASSERT_TRUE(state_->ListenApart(At(22), &error)) << error;
+    ASSERT_TRUE(cloud_->Listen(At(21), &error)) << error;
+  }
+
+  void StartNodes(int first, int end, int count) {
+    std::string error;
+    for (int i = first; i < end; ++i) {
+      newest_[i] = nodes_.size();
+      nodes_.push_back(
+          std::make_unique<app::Controller>(loop_, NodeSettings(i, count), config::Operator()));
+      ASSERT_TRUE(nodes_.back()->Start(&error)) << error;
+    }
+  }
+
+  // Ends the newest process of a node, and waits until it has.
+  rt::Task<> EndInOrder(int node) {
+    bool down = false;
+    ended_.insert(newest_.at(node));
+    nodes_[newest_.at(node)]->Shutdown([&down] { down = true; });
+    while (!down) {
+      rt::Sleep turn(scope_, 0.005);
+      co_await turn;
+    }
+  }
+
+  // Starts another at once, with the same settings.
+  rt::Task<> Restart(int node, int count) {
+    co_await EndInOrder(node);
+    StartNodes(node, node + 1, count);
+  }
+
+  // Runs the test's own routine, then everything's orderly end.
+  void Run(rt::Task<> script) {
+    scope_.Spawn(Script(std::move(script)));
+    loop_.Run();
+    EXPECT_TRUE(finished_);
+  }
+
+  rt::Task<> Script(rt::Task<> script) {
+    rt::Task<> owned = std::move(script);
+    co_await owned;
+    finished_ = true;
+    loop_.Stop();
+  }
+
+  rt::Task<wire::HttpResponse> Ask(int node, std::string method, std::string target,
+                                   std::string body = "") {
+    wire::HttpRequest q{.method = method, .target = target, .body = body};
+    auto r = co_await client_.Call(scope_, At(2 * node), std::move(q), 2, true);
+    co_return r.value_or(wire::HttpResponse{.status = 0, .body = ""});
+  }
+
+  static std::string Body(const wire::JobSpec& spec) {
+    wire::JsonWriter w;
+    wire::WriteJobSpec(w, spec);
+    return w.Take();
+  }
+
+  // Asks again, as users do, until the answer has the wanted status.
+  rt::Task<bool> Until(int node, std::string method, std::string target, std::string body,
+                       int status, std::string text, double limit_s) {
+    const double end = loop_.Now() + limit_s;
+    while (loop_.Now() < end) {
+      wire::HttpResponse r = co_await Ask(node, method, target, body);
+      if (r.status == status && r.body.find(text) != std::string::npos) co_return true;
+      rt::Sleep pause(scope_, 0.1);
+      co_await pause;
+    }
+    co_return false;
+  }
+
+  static int Base() {
+    // Below the ports that the system hands out to connections, and of this process alone among
+    // those that run at a time.
+    static int base = 10000 + getpid() % 340 * 64;
+    return base;
+  }
+
+  const int base_ = Base();
+  rt::Loop loop_;
+  rt::Scope scope_;
+  rt::Scope idle_{loop_};
+  std::set<size_t> ended_;
+  std::map<int, size_t> newest_;  // process of a node: where in nodes_
+  net::HttpClient client_;
+  std::unique_ptr<standins::State> state_;
+  std::unique_ptr<standins::Cloud> cloud_;
+  std::vector<std::unique_ptr<app::Controller>> nodes_;
+  bool finished_ = false;
+  double state_rps_ = 2000;
+  double run_s_ = 0.3;
+  std::optional<config::StateLimits> state_next_;
+  int apart_ = -1;
+};
+
+}  // namespace hallpier::testing_support
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -404,6 +404,7 @@
 Cloud::~Cloud() = default;
 
 void Cloud::OnStart(const Worker* where, const wire::TaskId& task) {
+  if (on_start_) on_start_(task);
   ++starts_;
   for (const auto& [name, other] : machines_) {
     if (other.get() != where && other->Has(task)) ++started_twice_;
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -103,6 +103,8 @@
   // Starts of tasks so far, and those of a task that was on another machine at the time.
   int starts() const { return starts_; }
   int started_twice() const { return started_twice_; }
+  // Told of every start of a task.
+  void WatchStarts(std::function<void(const wire::TaskId&)> f) { on_start_ = std::move(f); }
 
  private:
   class Worker;
@@ -118,6 +120,7 @@
   int next_ = 0;
   int starts_ = 0;
   int started_twice_ = 0;
+  std::function<void(const wire::TaskId&)> on_start_;
 };
 
 }  // namespace hallpier::standins
