Ends of single tasks give way to new work; polls share reads of awaited ends

Ruled out: the processor (rounds of 1 to 90 ms). Now they give way to anything new and are written once they are a report period old.

--- a/src/api/user_api.cc
+++ b/src/api/user_api.cc
@@ -13,7 +13,7 @@
 constexpr int kRetryS = 1;
 constexpr int kCasTries = 4;
 // Records read for one question about a job that awaits others, at the most.
-constexpr int kMostReads = 64;
+constexpr int kMostReads = 8;
 
 wire::HttpResponse Answer(int status, std::string body) {
   return {.status = status, .body = std::move(body)};
@@ -88,8 +88,6 @@
     out.kind = Found::Kind::kActive;
     out.job.cancelled = job->cancelled;
     out.warm = true;
-    // Nearly always all that it needs is known here, and the answer with it.
-    if (job->held && !d_.ledger->pipelines().unknown().empty()) out.job.spec = job->spec;
     co_return out;
   }
   // Not active by then: it is final, or was never there.
@@ -98,20 +96,26 @@
 }
 
 rt::Task<UserApi::Found> UserApi::LookupWhole(std::string id) {
-  Found found = co_await LookupShared(id);
-  const jobs::Job* job = d_.ledger->Find(id);
-  const bool released = job != nullptr && !job->held;
-  if (found.kind != Found::Kind::kActive || found.job.cancelled || found.job.spec.awaits.empty() ||
-      released) {
-    co_return found;
+  while (true) {
+    Found found = co_await LookupShared(id);
+    if (found.kind != Found::Kind::kActive || found.job.cancelled) co_return found;
+    if (!found.warm) {
+      // No node may have told a cancellation that this one does not know of. What has been released
+      // can't be cancelled by way of others any more.
+      const jobs::Job* job = d_.ledger->Find(id);
+      if (found.job.spec.awaits.empty() || (job != nullptr && !job->held)) co_return found;
+      const Fate fate = co_await FateOf(found.job.spec.awaits);
+      if (fate == Fate::kUnknown) co_return Found();
+      found.job.cancelled = fate == Fate::kCancelled;
+      co_return found;
+    }
+    if (d_.ledger->pipelines().Settled(id)) co_return found;
+    const bool settled = co_await d_.settled(id, d_.client->timeout_s());
+    if (!settled) co_return Found();
   }
-  const Fate fate = co_await FateOf(found.job.spec.awaits, found.warm);
-  if (fate == Fate::kUnknown) co_return Found();
-  found.job.cancelled = fate == Fate::kCancelled;
-  co_return found;
 }
 
-rt::Task<UserApi::Fate> UserApi::FateOf(std::vector<std::string> awaits, bool warm) {
+rt::Task<UserApi::Fate> UserApi::FateOf(std::vector<std::string> awaits) {
   std::vector<std::string> next = std::move(awaits);
   std::unordered_set<std::string> seen;
   int reads = 0;
@@ -123,23 +127,11 @@
       if (known->phase == wire::Phase::kCancelled) co_return Fate::kCancelled;
       continue;
     }
-    if (const jobs::Job* job = d_.ledger->Find(id)) {
-      // Cancelled is for good, whatever the copy lacks; the rest holds only if it is fresh.
-      if (job->cancelled) co_return Fate::kCancelled;
-      if (!job->held) {
-        if (warm) continue;
-      } else if (warm) {
-        next.insert(next.end(), job->spec.awaits.begin(), job->spec.awaits.end());
-        continue;
-      }
-    }
+    // What the copy calls cancelled is so, however old it is; the rest it may not know yet.
+    const jobs::Job* job = d_.ledger->Find(id);
+    if (job != nullptr && job->cancelled) co_return Fate::kCancelled;
     if (++reads > kMostReads) co_return Fate::kUnknown;
-    Found found;
-    if (warm) {
-      found = co_await LookupFinal(id);
-    } else {
-      found = co_await Lookup(id);
-    }
+    Found found = co_await Lookup(id);
     if (found.kind == Found::Kind::kFinal) {
       if (found.final_record.phase == wire::Phase::kCancelled) co_return Fate::kCancelled;
     } else if (found.kind == Found::Kind::kActive) {
@@ -155,10 +147,15 @@
 
 rt::Task<std::optional<wire::HttpResponse>> UserApi::CheckAwaits(std::vector<std::string> awaits,
                                                                  bool* cancelled) {
+  // Sorted out here as far as is known; what is not, every node finds out for itself later on.
+  *cancelled = false;
   const bool warm = co_await d_.barrier->Reached();
   for (const std::string& id : awaits) {
-    const jobs::Job* job = d_.ledger->Find(id);
-    if (job == nullptr) {
+    bool service = false;
+    if (const jobs::Job* job = d_.ledger->Find(id)) {
+      service = job->spec.shape == wire::Shape::kStanding;
+      *cancelled = *cancelled || job->cancelled;
+    } else {
       // Not active by then, if the copy is fresh: it is final, or was never there.
       Found found = FromMemory(id);
       if (found.kind != Found::Kind::kFinal) {
@@ -172,16 +169,13 @@
         co_return Answer(422, wire::WriteError(id + " was never accepted", "awaits"));
       }
       if (found.kind == Found::Kind::kUnknown) co_return NotNow("the state service is not there");
-      if (found.kind == Found::Kind::kActive && found.job.spec.shape == wire::Shape::kStanding) {
-        co_return Answer(422, wire::WriteError(id + " never ends", "awaits"));
-      }
-    } else if (job->spec.shape == wire::Shape::kStanding) {
-      co_return Answer(422, wire::WriteError(id + " never ends", "awaits"));
+      const bool active = found.kind == Found::Kind::kActive;
+      service = active && found.job.spec.shape == wire::Shape::kStanding;
+      *cancelled = *cancelled || (active ? found.job.cancelled
+                                         : found.final_record.phase == wire::Phase::kCancelled);
     }
+    if (service) co_return Answer(422, wire::WriteError(id + " never ends", "awaits"));
   }
-  const Fate fate = co_await FateOf(std::move(awaits), warm);
-  // Not known: then it is found out later, by the node that is asked and by the leader.
-  *cancelled = fate == Fate::kCancelled;
   co_return std::nullopt;
 }
 
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -30,6 +30,8 @@
     jobs::Ledger* ledger;
     const std::vector<wire::Flavor>* flavors;  // empty: not known yet
     std::function<double()> time_of_day;
+    // True once the warm copy knows how all ended that a job needs; false if that takes too long.
+    std::function<rt::Task<bool>(std::string id, double limit_s)> settled;
   };
   explicit UserApi(Deps deps) : d_(std::move(deps)) {}
 
@@ -51,12 +53,12 @@
   // read of its own where that fails.
   rt::Task<Found> LookupShared(std::string id);
   rt::Task<Found> LookupFinal(std::string id);
-  // The state of a job that was found, other jobs' cancellations included.
+  // The same for what the user is told: cancelled as well if a job that it needs is.
   rt::Task<Found> LookupWhole(std::string id);
-  // Whether a job that is not cancelled itself is cancelled by way of those it needs. As fresh as
-  // what says that the job is there: an answer must not be older than one that another node gave.
+  // Whether a job that is not cancelled itself is cancelled by way of those it needs, from reads of
+  // their records: for when the warm copy can't be made fresh.
   enum class Fate { kGoesOn, kCancelled, kUnknown };
-  rt::Task<Fate> FateOf(std::vector<std::string> awaits, bool warm);
+  rt::Task<Fate> FateOf(std::vector<std::string> awaits);
   // What a submission that awaits others is to be told at once; nothing if all of them were
   // accepted. `cancelled`: one of them is cancelled already.
   rt::Task<std::optional<wire::HttpResponse>> CheckAwaits(std::vector<std::string> awaits,
--- a/src/app/awaited_finals.cc
+++ b/src/app/awaited_finals.cc
@@ -30,12 +30,24 @@
   }
 }
 
+rt::Task<bool> AwaitedFinals::Settled(std::string id, double limit_s) {
+  const double end = scope_.loop().Now() + limit_s;
+  while (!ledger_.pipelines().Settled(id)) {
+    const double left = end - scope_.loop().Now();
+    if (left <= 0 || scope_.cancelled()) co_return false;
+    auto wait = known_.Await(scope_, left);
+    co_await wait;
+  }
+  co_return true;
+}
+
 rt::Task<> AwaitedFinals::Read(std::string id) {
   auto entry = co_await client_.Get(store::FinalKey(id));
   auto record = entry.ok() ? store::ReadFinal(entry.value.value) : std::nullopt;
   if (record) {
     ledger_.NoteFinal(id, *record);
     found_();
+    known_.Notify();
   } else {
     // Not there: it has not reached the warm copy yet, or could not be asked for. Who awaits it
     // goes on waiting.
--- a/src/app/awaited_finals.h
+++ b/src/app/awaited_finals.h
@@ -26,6 +26,8 @@
         found_(std::move(found)) {}
 
   rt::Task<> Run();
+  // True once nothing of what a job needs is unknown; false if that takes longer than `limit_s`.
+  rt::Task<bool> Settled(std::string id, double limit_s);
   // Some job's record has changed or is gone.
   void OnChange();
 
@@ -39,6 +41,7 @@
   const std::function<void()> found_;
   std::set<std::string> reading_;
   rt::Event wake_;
+  rt::Event known_;  // one more
 };
 
 }  // namespace hallpier::app
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -73,8 +73,10 @@
       duties_({&settings_, &operators_, &client_, &replica_, &formats_, &ledger_, &flavors_,
                &leadership_, TimeOfDay}),
       barrier_(root_, client_, replica_, kBarrierS),
-      users_(
-          {&settings_, &client_, &replica_, &barrier_, &formats_, &ledger_, &flavors_, TimeOfDay}),
+      users_({&settings_, &client_, &replica_, &barrier_, &formats_, &ledger_, &flavors_, TimeOfDay,
+              [this](std::string id, double limit_s) {
+                return finals_.Settled(std::move(id), limit_s);
+              }}),
       server_(root_, ServerLimits(settings_),
               [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
       peers_(root_, settings_,
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -25,11 +25,15 @@
 constexpr double kResignRatio = 1.0;
 // Connections for direct commands, in use and kept, as a part of this machine's sockets.
 constexpr double kCommandSockets = 0.08;
-// A job becomes final with two writes, and one for a group of its tasks.
-constexpr int kLeastOps = 3;
 constexpr size_t kMaxWorkerBody = 256 * 1024;
 constexpr size_t kMaxCloudBody = 1024 * 1024;
 
+size_t HashOf(const std::vector<wire::Write>& writes) {
+  std::string all;
+  for (const wire::Write& w : writes) all += w.key + ' ' + w.value + '\n';
+  return std::hash<std::string>()(all);
+}
+
 }  // namespace
 
 Duties::Duties(Deps deps)
@@ -56,6 +60,8 @@
   tell_queue_.clear();
   urgent_came_ = false;
   wants_.clear();
+  alone_.clear();
+  refused_.clear();
   flavors_at_ = -1;
   work_waits_ = true;  // what the former leader left undone
   term.Spawn(RoundLoop(term));
@@ -163,14 +169,12 @@
   jobs::BatchLimits limits;
   limits.ops = d_.formats->txn_ops();
   limits.value_bytes = d_.formats->value_bytes();
-  if (refused_ops_ > 0) limits.ops = std::min(limits.ops, static_cast<int>(refused_ops_) - 1);
-  limits.ops = std::max(limits.ops, kLeastOps);
-  if (refused_bytes_ > 0) limits.value_bytes = std::min(limits.value_bytes, refused_bytes_ - 1);
   limits.block_key = store::BlockKey(0);
   limits.token = d_.leadership->token();
   limits.patience_s = d_.settings->report_s;
   limits.packed = d_.formats->packed();
   limits.time_of_day = d_.time_of_day();
+  limits.alone = &alone_;
   return limits;
 }
 
@@ -179,29 +183,45 @@
     d_.formats->Prove("the limits are lower");
     return;
   }
-  size_t largest = 0;
-  for (const wire::Write& w : writes) largest = std::max(largest, w.value.size());
-  // Fewer writes at a time first; then smaller values, in which placements wait.
-  if (static_cast<int>(writes.size()) > kLeastOps) {
-    refused_ops_ = writes.size();
-  } else if (largest > 1) {
-    refused_bytes_ = largest;
+  if (alone_.contains(writes[0].key)) {
+    spdlog::error("state: {} is refused as it is; it is left until it changes", writes[0].key);
+    refused_[writes[0].key] = HashOf(writes);
+  } else {
+    for (const wire::Write& w : writes) alone_.insert(w.key);
   }
 }
 
+bool Duties::Refused(const std::vector<wire::Write>& writes) const {
+  auto it = refused_.find(writes[0].key);
+  return it != refused_.end() && it->second == HashOf(writes);
+}
+
 rt::Task<> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
+  if (d_.formats->changing()) {
+    work_waits_ = true;
+    co_return;
+  }
   const jobs::BatchLimits limits = Limits();
   auto stamp = [this](const std::string& key) { return d_.replica->Stamp(key); };
   auto txns = jobs::BuildTxns(*d_.ledger, mutations, limits, stamp);
   const double begin = term.loop().Now();
+  std::map<jobs::Rank, size_t> asked;
+  for (const jobs::Txn& t : txns) asked[t.rank] += t.writes.size();
+  spdlog::debug("commit: {} urgent starts, {} ends of jobs, {} starts, {} outcomes",
+                asked[jobs::Rank::kUrgentStart], asked[jobs::Rank::kEnd], asked[jobs::Rank::kStart],
+                asked[jobs::Rank::kOutcome]);
   for (jobs::Txn& t : txns) {
     // What the budget has no room for now is decided anew, with what has come in meanwhile; so is
     // all the rest once there is urgent work that could go before it.
     const double left = begin + d_.operators->round_s - term.loop().Now();
-    if (left <= 0 || (urgent_came_ && t.rank > jobs::Rank::kEnd)) {
+    // Ends of single tasks give way to anything new: their machines keep them meanwhile, and those
+    // that have waited for long are ranked higher.
+    const bool gives_way = work_waits_ && t.rank == jobs::Rank::kOutcome;
+    if (left <= 0 || gives_way || (urgent_came_ && t.rank > jobs::Rank::kEnd)) {
       work_waits_ = true;
       co_return;
     }
+    if (Refused(t.writes)) continue;
     const auto writes = t.writes;
     // Taken now: the watch may bring the end before the answer does.
     std::vector<std::string> ends;
@@ -344,8 +364,8 @@
   auto w = co_await d_.client->Txn(std::move(guards), std::move(writes));
   if (w.ok()) {
     d_.replica->Apply(key, value, w.value.revision);
-  } else {
-    flavors_at_ = -1;
+  } else if (w.status != store::Status::kInvalid) {
+    flavors_at_ = -1;  // refused as it is, it can wait for its usual turn
   }
   work_waits_ = true;
   work_.Notify();
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -52,9 +52,10 @@
   rt::Task<> Round(rt::Scope& term);
   // What does not get written is decided anew: the records say what comes next.
   rt::Task<> Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations);
-  // A transaction was refused as malformed: too large, in all likelihood. What is built next is
-  // smaller, so that nothing is ever sent twice unchanged.
+  // A transaction was refused as malformed: something in it is too large, in all likelihood. What
+  // was together goes alone from now on, and what was alone is not sent again unchanged.
   void OnTooLarge(const std::vector<wire::Write>& writes);
+  bool Refused(const std::vector<wire::Write>& writes) const;
   jobs::BatchLimits Limits() const;
   rt::Task<> CloudLoop(rt::Scope& term);
   rt::Task<bool> ListMachines(rt::Scope& term);
@@ -80,11 +81,10 @@
   rt::Scope* term_ = nullptr;
   rt::Event work_;
   bool work_waits_ = false;
-  // What refusals have shown to be too large; 0: nothing has.
-  size_t refused_ops_ = 0;
-  size_t refused_bytes_ = 0;
-  bool urgent_came_ = false;            // prod or urgent work that no round has seen yet
-  std::set<std::string> told_;          // machines with a direct command under way
+  std::set<std::string> alone_;  // keys that go alone, since they were refused with others
+  std::map<std::string, size_t> refused_;  // first key and hash of what was refused alone
+  bool urgent_came_ = false;               // prod or urgent work that no round has seen yet
+  std::set<std::string> told_;             // machines with a direct command under way
   std::set<std::string> to_tell_;       // and those that need one after it, or once there is room
   std::deque<std::string> tell_queue_;  // of these, those that have none under way, oldest first
   std::vector<plan::Want> wants_;
--- a/src/jobs/batch.cc
+++ b/src/jobs/batch.cc
@@ -125,10 +125,12 @@
                      [](const Unit& a, const Unit& b) { return a.rank < b.rank; });
     std::vector<Txn> out;
     size_t bytes = 0;
+    bool closed = false;
     for (Unit& u : units_) {
       const size_t more = Bytes(u.writes);
+      const bool alone = limits_.alone != nullptr && limits_.alone->contains(u.writes[0].key);
       const size_t ops = static_cast<size_t>(limits_.ops);
-      if (out.empty() || out.back().writes.size() + u.writes.size() > ops ||
+      if (out.empty() || closed || alone || out.back().writes.size() + u.writes.size() > ops ||
           out.back().guards.size() + u.guards.size() > kGuardsPerWrite * ops ||
           bytes + more > kMaxTxnBytes) {
         out.emplace_back();
@@ -136,6 +138,7 @@
         out.back().rank = u.rank;
         bytes = 0;
       }
+      closed = alone;
       Txn& t = out.back();
       bytes += more;
       for (auto& g : u.guards) {
--- a/src/jobs/batch.h
+++ b/src/jobs/batch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   // Every node reads the newer forms: groups are packed, and final records hold their time.
   bool packed = false;
   double time_of_day = 0;
+  // Keys whose writes share a transaction with no others: one of them has been refused with it.
+  const std::set<std::string>* alone = nullptr;
 };
 
 using StampOf = std::function<uint64_t(const std::string& key)>;
--- a/src/jobs/pipelines.cc
+++ b/src/jobs/pipelines.cc
@@ -21,6 +21,21 @@
   return it == awaited_.end() ? kNone : it->second.by;
 }
 
+bool Pipelines::Settled(const std::string& id) const {
+  if (unknown_.empty()) return true;
+  std::vector<std::string> next = {id};
+  std::unordered_set<std::string> seen;
+  while (!next.empty()) {
+    const std::string one = std::move(next.back());
+    next.pop_back();
+    if (unknown_.contains(one)) return false;
+    auto it = nodes_.find(one);
+    if (it == nodes_.end() || !it->second.view.held || !seen.insert(one).second) continue;
+    next.insert(next.end(), it->second.awaits.begin(), it->second.awaits.end());
+  }
+  return true;
+}
+
 std::vector<std::string> Pipelines::TakeTouched() {
   std::vector<std::string> out(touched_.begin(), touched_.end());
   touched_.clear();
--- a/src/jobs/pipelines.h
+++ b/src/jobs/pipelines.h
@@ -47,6 +47,9 @@
   // Jobs that unfinished ones await, of which nothing is known here: they are final, and how is to
   // be read. Until then those that await them wait.
   const std::set<std::string>& unknown() const { return unknown_; }
+  // True unless something of what the job needs, directly or through others, is unknown: only then
+  // may it be cancelled without our knowing.
+  bool Settled(const std::string& id) const;
   // Jobs whose view has changed since this was last asked.
   std::vector<std::string> TakeTouched();
 
--- a/src/store/formats.cc
+++ b/src/store/formats.cc
@@ -76,11 +76,11 @@
     const bool known = replica_.loaded();
     if (known && !marked_.contains(settings_.node)) {
       co_await Record(MarkKey(settings_.node), WriteMark());
-    } else if (known && (AllMarked() || !proof_.empty())) {
+    } else if (known && (AllMarked() || changing())) {
       co_await Record(FormatKey(), WriteFormat({kFormat, CommonLayout(settings_)}));
     }
     if (packed() || scope_.cancelled()) break;
-    const bool more = !known || !marked_.contains(settings_.node) || AllMarked() || !proof_.empty();
+    const bool more = !known || !marked_.contains(settings_.node) || AllMarked() || changing();
     if (more) {
       rt::Sleep rest(scope_, pause(random));
       co_await rest;
--- a/src/store/formats.h
+++ b/src/store/formats.h
@@ -33,6 +33,9 @@
 
   // True once the newer forms may be written.
   bool packed() const { return record_.has_value(); }
+  // True while the change is proven and not recorded yet: what was refused in the old form would be
+  // refused again.
+  bool changing() const { return !packed() && !proof_.empty(); }
   // What a record may hold now, so that the lowering of the limits finds nothing too large.
   size_t value_bytes() const;
   int txn_ops() const;
--- a/src/store/shard.cc
+++ b/src/store/shard.cc
@@ -46,98 +46,112 @@
   return true;
 }
 
-// Names of machines as numbers. Where all are alike but for a number at their end, that number less
-// the least of them; else their places in a list. 0 stands for no machine.
+// Names of machines as numbers. Names that are alike but for a number at their end are a family,
+// which takes as many codes as there are numbers between its least and its greatest; 0 stands for
+// no machine.
 class HostCoder {
  public:
-  HostCoder() = default;
-
   static HostCoder For(const Shard& shard) {
-    HostCoder c;
-    bool alike = true, first = true;
-    uint64_t most = 0;
+    std::map<std::pair<std::string_view, size_t>, std::pair<uint64_t, uint64_t>> bounds;
     for (const auto& [index, task] : shard.open) {
       if (task.machine.empty()) continue;
-      auto [name, digits, number] = Cut(task.machine);
-      if (first) {
-        c.name_ = name;
-        c.digits_ = digits;
-        c.least_ = number;
-        first = false;
-      }
-      alike = alike && digits > 0 && name == c.name_ && digits == c.digits_;
-      c.least_ = std::min(c.least_, number);
-      most = std::max(most, number);
+      const Name name = Cut(task.machine);
+      auto [it, fresh] =
+          bounds.try_emplace({name.stem, name.digits}, std::pair{name.number, name.number});
+      it->second.first = std::min(it->second.first, name.number);
+      it->second.second = std::max(it->second.second, name.number);
     }
-    if (alike) {
-      c.width_ = wire::DigitsFor(first ? 0 : most - c.least_ + 1);
-      return c;
-    }
-    c.digits_ = 0;
-    for (const auto& [index, task] : shard.open) {
-      if (task.machine.empty() || c.places_.contains(task.machine)) continue;
-      c.list_.push_back(task.machine);
-      c.places_[task.machine] = c.list_.size();
+    HostCoder c;
+    for (const auto& [kin, bound] : bounds) {
+      c.Add({std::string(kin.first), kin.second, bound.first, bound.second - bound.first + 1});
     }
-    c.width_ = wire::DigitsFor(c.list_.size());
     return c;
   }
 
   void Write(wire::JsonWriter& w) const {
-    w.Field("width").Uint64(width_);
-    if (!list_.empty()) {
-      w.Field("hosts").StartArray();
-      for (const auto& name : list_) w.Text(name);
+    w.Field("hosts").StartArray();
+    for (const Family& f : families_) {
+      w.StartArray();
+      w.Text(f.stem);
+      w.Uint64(f.digits);
+      w.Uint64(f.least);
+      w.Uint64(f.count);
       w.EndArray();
-    } else if (digits_ > 0) {
-      w.Field("host").Text(name_);
-      w.Field("digits").Uint64(digits_);
-      w.Field("least").Uint64(least_);
     }
+    w.EndArray();
   }
 
   static std::optional<HostCoder> Read(const wire::JsonValue& v) {
+    const wire::JsonValue* hosts = wire::Find(v, "hosts");
+    if (hosts == nullptr || !hosts->IsArray()) return std::nullopt;
     HostCoder c;
-    c.width_ = wire::GetCount(v, "width").value_or(0);
-    c.name_ = wire::GetText(v, "host").value_or("");
-    c.digits_ = wire::GetCount(v, "digits").value_or(0);
-    c.least_ = wire::GetCount(v, "least").value_or(0);
-    if (const wire::JsonValue* list = wire::Find(v, "hosts")) {
-      if (!list->IsArray()) return std::nullopt;
-      for (const auto& name : list->GetArray()) {
-        if (!name.IsString() || name.GetStringLength() == 0) return std::nullopt;
-        c.list_.emplace_back(name.GetString(), name.GetStringLength());
+    for (const auto& f : hosts->GetArray()) {
+      if (!f.IsArray() || f.Size() != 4 || !f[0].IsString() || !f[1].IsUint64() ||
+          !f[2].IsUint64() || !f[3].IsUint64()) {
+        return std::nullopt;
+      }
+      Family family{std::string(f[0].GetString(), f[0].GetStringLength()), f[1].GetUint64(),
+                    f[2].GetUint64(), f[3].GetUint64()};
+      const uint64_t least = family.least, count = family.count;
+      if (family.digits > kMostDigits || least >= kMostNumber || count > kMostNumber) {
+        return std::nullopt;
+      }
+      if (family.digits == 0 && (family.stem.empty() || least != 0 || count != 1)) {
+        return std::nullopt;
+      }
+      if (std::to_string(least + count - 1).size() > std::max<size_t>(family.digits, 1)) {
+        return std::nullopt;
       }
+      c.Add(std::move(family));
     }
-    if (c.width_ < 1 || c.width_ > kMostDigits || c.digits_ > kMostDigits) return std::nullopt;
     return c;
   }
 
-  size_t width() const { return width_; }
+  size_t width() const { return wire::DigitsFor(codes_); }
 
   uint64_t Code(const std::string& machine) const {
     if (machine.empty()) return 0;
-    if (!list_.empty()) return places_.at(machine);
-    return std::get<2>(Cut(machine)) - least_ + 1;
+    const Name name = Cut(machine);
+    const Family& f = families_[by_kin_.at({std::string(name.stem), name.digits})];
+    return f.first + name.number - f.least;
   }
 
-  std::optional<std::string> Name(uint64_t code) const {
+  std::optional<std::string> NameOf(uint64_t code) const {
     if (code == 0) return std::string();
-    if (!list_.empty()) {
-      if (code > list_.size()) return std::nullopt;
-      return list_[code - 1];
+    for (const Family& f : families_) {
+      if (code < f.first || code - f.first >= f.count) continue;
+      if (f.digits == 0) return f.stem;
+      const std::string number = std::to_string(f.least + code - f.first);
+      return f.stem + std::string(f.digits - number.size(), '0') + number;
     }
-    const std::string number = std::to_string(least_ + code - 1);
-    if (digits_ < number.size()) return std::nullopt;
-    return name_ + std::string(digits_ - number.size(), '0') + number;
+    return std::nullopt;
   }
 
  private:
-  // Fewer than 2^53 numbers, and sums of two of them, are exact everywhere.
   static constexpr size_t kMostDigits = 15;
+  static constexpr uint64_t kMostNumber = 1'000'000'000'000'000;
 
-  // A name, how many digits it ends with, and their number.
-  static std::tuple<std::string_view, size_t, uint64_t> Cut(std::string_view machine) {
+  struct Family {
+    std::string stem;
+    size_t digits = 0;
+    uint64_t least = 0;
+    uint64_t count = 0;
+    uint64_t first = 0;  // its least one's code
+  };
+  struct Name {
+    std::string_view stem;
+    size_t digits = 0;
+    uint64_t number = 0;
+  };
+
+  void Add(Family f) {
+    f.first = codes_ + 1;
+    codes_ += f.count;
+    by_kin_[{f.stem, f.digits}] = families_.size();
+    families_.push_back(std::move(f));
+  }
+
+  static Name Cut(std::string_view machine) {
     size_t digits = 0;
     while (digits < std::min(machine.size(), kMostDigits) &&
            machine[machine.size() - digits - 1] >= '0' &&
@@ -145,17 +159,14 @@
       ++digits;
     }
     const std::string_view text = machine.substr(machine.size() - digits);
-    uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return {machine.substr(0, machine.size() - digits), digits, number};
+    Name name{machine.substr(0, machine.size() - digits), digits, 0};
+    std::from_chars(text.data(), text.data() + text.size(), name.number);
+    return name;
   }
 
-  std::string name_;
-  size_t digits_ = 0;
-  uint64_t least_ = 0;
-  std::vector<std::string> list_;
-  std::map<std::string, size_t> places_;
-  size_t width_ = 1;
+  std::vector<Family> families_;
+  std::map<std::pair<std::string, size_t>, size_t> by_kin_;
+  uint64_t codes_ = 0;
 };
 
 std::optional<Shard> ReadPacked(const wire::JsonValue& v) {
@@ -180,7 +191,7 @@
     if ((*done)[i]) s.done.Insert(index);
     if (!(*open)[i]) continue;
     auto code = wire::TakeDigits(on_left, hosts->width());
-    auto machine = code ? hosts->Name(*code) : std::nullopt;
+    auto machine = code ? hosts->NameOf(*code) : std::nullopt;
     auto attempt = tries_text.empty() ? 1 : wire::TakeDigits(tries_left, 1);
     // A task that is done and on a machine as well would be one that nobody can end.
     if (!machine || !attempt || (*done)[i]) return std::nullopt;
