What is given up is not started again while that is written

The leases of a cut zone were over, and the leader was writing so, over several rounds; the zone came back meanwhile, and its workers, which had lost everything, were told to start what was still recorded there. Then the write went through and the tasks started elsewhere. Test: RosterTest.WhatIsGivenUpIsNotStartedAgainWhileThatIsWritten.

--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -474,8 +474,14 @@
         out.push_back(mu);
         return &out.back();
       };
+      // Writing that takes its time, and may succeed late without an answer: meanwhile the worker
+      // may be back, and must not be told to start what is about to start elsewhere.
+      auto give_up = [&](const char* why) {
+        mutation(Kind::kRequeue)->why = why;
+        Stop(task, attempt, 0);
+      };
       if (m == nullptr || !m->reported()) {
-        if (gone) mutation(Kind::kRequeue)->why = "machine gone";
+        if (gone) give_up("machine gone");
         continue;
       }
       auto held = m->held.find(task);
@@ -495,12 +501,12 @@
         }
       } else {
         if (Unwanted(*m, task, attempt, ledger) && ProvenAbsent(*m, task)) {
-          mutation(Kind::kRequeue)->why = "never started";
+          give_up("never started");
           continue;
         }
       }
       // An expired lease: the worker has killed it, heard or not.
-      if (gone) mutation(Kind::kRequeue)->why = "lease expired";
+      if (gone) give_up("lease expired");
     }
   }
   // Wishes to stop what is no longer recorded are fulfilled.
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -139,6 +139,25 @@
   EXPECT_TRUE(Freed(82));
 }
 
+// The lease of a machine in a cut zone is over; while that is being written the zone comes back.
+// Its worker, which has lost everything, must not be told to start the task again: the write may be
+// on its way, and the task would run here and elsewhere.
+TEST_F(RosterTest, WhatIsGivenUpIsNotStartedAgainWhileThatIsWritten) {
+  Place(ledger_, "run-1", 0, 1, "vm-1");
+  auto given_up = roster_.Collect(ledger_, 1000);
+  ASSERT_EQ(given_up.size(), 1u);
+  EXPECT_EQ(given_up[0].kind, jobs::Mutation::Kind::kRequeue);
+  EXPECT_TRUE(Checkin(2, 1, kToken, 1000).empty());
+  // Not written after all: then it is given up once more, now for want of a start.
+  auto again = roster_.Collect(ledger_, 1001);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].why, "never started");
+  // Written: the next attempt on the same machine is another matter.
+  Place(ledger_, "run-1", 0, 2, "vm-1");
+  roster_.Collect(ledger_, 1002);
+  EXPECT_EQ(roster_.Orders(*roster_.Find("vm-1"), ledger_, false).size(), 1u);
+}
+
 // Copies of a report that come again and again, for longer than a lease, renew nothing: the worker
 // behind them may be long gone.
 TEST_F(RosterTest, LateCopiesRenewNothingAndBringNothingBack) {
