--- /dev/null
+++ b/src/app/cloud_duty.cc
@@ -0,0 +1,182 @@
+#include "app/cloud_duty.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <tuple>
+
+namespace hallpier::app {
+namespace {
+
+constexpr double kCloudTimeoutS = 5;
+// Part of the cloud's request limit that the regular listing may use.
+constexpr double kListShare = 0.2;
+// Machine types are asked for anew after this many report periods.
+constexpr double kFlavorReports = 20;
+constexpr size_t kReturnsPerCall = 100;
+// Who hears too few workers leaves the lead to another for this part of their lease.
+constexpr double kResignRatio = 1.0;
+constexpr size_t kMaxCloudBody = 1024 * 1024;
+
+}  // namespace
+
+CloudDuty::CloudDuty(Deps deps)
+    : d_(std::move(deps)),
+      renter_(*d_.settings, *d_.operators),
+      cloud_(2, kMaxCloudBody),
+      budget_(d_.settings->cloud_rps * 0.8, 2.0, 0) {}
+
+rt::Task<std::optional<wire::HttpResponse>> CloudDuty::Call(rt::Scope& term,
+                                                            wire::HttpRequest request) {
+  const double wait = budget_.Take(term.loop().Now(), 1, store::Urgent::kYes, kCloudTimeoutS);
+  if (wait < 0) co_return std::nullopt;
+  if (wait > 0) {
+    rt::Sleep pause(term, wait);
+    co_await pause;
+  }
+  const bool repeatable = request.method == "GET";
+  auto r = co_await cloud_.Call(term, d_.settings->cloud, std::move(request), kCloudTimeoutS,
+                                repeatable);
+  co_return r;
+}
+
+rt::Task<> CloudDuty::LearnFlavors(rt::Scope& term) {
+  const double now = term.loop().Now();
+  if (flavors_at_ >= 0 && now - flavors_at_ < kFlavorReports * d_.settings->report_s) co_return;
+  wire::HttpRequest q{.method = "GET", .target = "/flavors", .body = {}};
+  auto r = co_await Call(term, std::move(q));
+  if (!r || r->status != 200) co_return;
+  auto doc = wire::ParseObject(r->body);
+  auto flavors = doc ? wire::ReadFlavors(*doc) : std::nullopt;
+  if (!flavors || flavors->empty()) {
+    spdlog::warn("cloud: the list of machine types can't be read");
+    co_return;
+  }
+  flavors_at_ = now;
+  d_.context->flavors = std::move(*flavors);
+  // Prices move all the time; the others need to know only what could run.
+  auto plain = d_.context->flavors;
+  for (auto& f : plain) f.spot_price = f.price;
+  const std::string value = wire::WriteFlavors(plain);
+  if (value == wire::WriteFlavors(*d_.flavors)) co_return;
+  const std::string key = store::FlavorsKey();
+  std::vector<wire::Guard> guards = {{store::BlockKey(0), d_.leadership->token()}};
+  std::vector<wire::Write> writes = {{key, value, 0}};
+  auto w = co_await d_.client->Txn(std::move(guards), std::move(writes));
+  if (w.ok()) {
+    d_.replica->Apply(key, value, w.value.revision);
+  } else if (w.status != store::Status::kInvalid) {
+    flavors_at_ = -1;  // refused as it is, it can wait for its usual turn
+  }
+  d_.changed();
+}
+
+rt::Task<bool> CloudDuty::List(rt::Scope& term) {
+  const double asked = term.loop().Now();
+  std::vector<wire::Listed> all;
+  std::string after;
+  list_pages_ = 0;
+  while (!term.cancelled()) {
+    std::string target = "/rentals?limit=500";
+    if (!after.empty()) target += "&from=" + wire::EscapeQuery(after);
+    wire::HttpRequest q{.method = "GET", .target = std::move(target), .body = {}};
+    auto r = co_await Call(term, std::move(q));
+    if (!r || r->status != 200) co_return false;
+    ++list_pages_;
+    auto page = wire::ReadMachineList(r->body);
+    if (!page) {
+      spdlog::warn("cloud: the list of machines can't be read");
+      co_return false;
+    }
+    for (auto& m : page->machines) all.push_back(std::move(m));
+    if (!page->more || page->machines.empty()) break;
+    after = all.back().machine;
+  }
+  if (term.cancelled()) co_return false;
+  d_.roster->OnListed(all, asked, term.loop().Now());
+  co_return true;
+}
+
+rt::Task<> CloudDuty::Rent(rt::Scope& term) {
+  const auto most = static_cast<size_t>(std::ceil(d_.settings->cloud_rps));
+  auto rentals =
+      renter_.Rentals(wants_, d_.context->flavors, d_.leadership->token(), most, term.loop().Now());
+  // An offer that has run dry in between is not asked again.
+  std::set<std::tuple<std::string, std::string, bool>> dry;
+  for (const wire::Rental& r : rentals) {
+    if (dry.contains({r.flavor, r.zone, r.spot})) continue;
+    if (term.cancelled() || !d_.leadership->Entitled()) co_return;
+    wire::HttpRequest q{.method = "POST", .target = "/rentals", .body = wire::WriteRental(r)};
+    auto answer = co_await Call(term, std::move(q));
+    const double now = term.loop().Now();
+    if (!answer) {
+      spdlog::warn("cloud: no answer to rental {}", r.request);
+      co_return;
+    }
+    if (answer->status == 200) {
+      auto names = wire::ReadRented(answer->body);
+      if (!names) continue;
+      spdlog::info("rented {} of {} {} in {} ({})", names->size(), r.count, r.flavor, r.zone,
+                   r.spot ? "spot" : "ordinary");
+      d_.roster->OnRented(*names, r, now);
+      if (static_cast<int>(names->size()) == r.count) continue;
+    } else if (answer->body.find("no capacity") == std::string::npos) {
+      co_return;
+    }
+    renter_.OnShort(r, now);
+    dry.insert({r.flavor, r.zone, r.spot});
+  }
+  // What rounds wanted meanwhile did not know of these machines yet.
+  wants_.clear();
+}
+
+rt::Task<> CloudDuty::Return(rt::Scope& term) {
+  std::vector<std::string> names;
+  for (const auto& [name, m] : d_.roster->all()) {
+    if (!m.returning || names.size() >= kReturnsPerCall) continue;
+    names.push_back(name);
+  }
+  // A former leader's judgement must not take machines from its successor.
+  if (names.empty() || !d_.leadership->Entitled()) co_return;
+  wire::HttpRequest q{
+      .method = "POST", .target = "/rentals/return", .body = wire::WriteReturn(names)};
+  auto r = co_await Call(term, std::move(q));
+  if (!r || r->status != 200) co_return;
+  for (const auto& name : names) {
+    spdlog::info("machine {} returned", name);
+    d_.roster->OnReturned(name);
+  }
+  d_.changed();
+}
+
+rt::Task<> CloudDuty::Run(rt::Scope& term) {
+  const double per_call = 1 / (kListShare * d_.settings->cloud_rps);
+  double list_at = 0;
+  bool listed = false;
+  // What a former term wanted, and knew of prices, is no longer so.
+  wants_.clear();
+  flavors_at_ = -1;
+  while (!term.cancelled()) {
+    co_await LearnFlavors(term);
+    if (term.loop().Now() >= list_at) {
+      listed = co_await List(term);
+      // A long list takes many calls: it comes the less often.
+      list_at = term.loop().Now() + std::max(d_.settings->report_s / 3, per_call * list_pages_);
+    }
+    if (term.cancelled()) break;
+    const double now = term.loop().Now();
+    const bool heard = renter_.Review(*d_.roster, *d_.ledger, *d_.context, !wants_.empty(), now);
+    if (!heard) {
+      d_.leadership->Resign(kResignRatio * d_.settings->lease_s, "most workers are silent");
+      break;
+    }
+    co_await Return(term);
+    if (listed) co_await Rent(term);
+    rt::Sleep pause(term, per_call);
+    co_await pause;
+  }
+}
+
+}  // namespace hallpier::app
--- /dev/null
+++ b/src/app/cloud_duty.h
@@ -0,0 +1,58 @@
+// The leader's dealings with the cloud: machine types, the list of machines, renting, returning.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "config/settings.h"
+#include "fleet/renter.h"
+#include "fleet/roster.h"
+#include "jobs/ledger.h"
+#include "lead/leadership.h"
+#include "net/http_client.h"
+#include "plan/round.h"
+#include "store/budget.h"
+#include "store/client.h"
+#include "store/replica.h"
+
+namespace hallpier::app {
+
+class CloudDuty {
+ public:
+  struct Deps {
+    const config::Settings* settings;
+    const config::Operator* operators;
+    store::Client* client;
+    store::Replica* replica;
+    jobs::Ledger* ledger;
+    std::vector<wire::Flavor>* flavors;
+    lead::Leadership* leadership;
+    fleet::Roster* roster;
+    plan::Context* context;
+    std::function<void()> changed;  // a round should look at it
+  };
+  explicit CloudDuty(Deps deps);
+
+  // The routine of a term; it ends with the scope, or once the lead is given up.
+  rt::Task<> Run(rt::Scope& term);
+  // What the last round would have machines for.
+  void Want(std::vector<plan::Want> wants) { wants_ = std::move(wants); }
+
+ private:
+  rt::Task<std::optional<wire::HttpResponse>> Call(rt::Scope& term, wire::HttpRequest request);
+  rt::Task<> LearnFlavors(rt::Scope& term);
+  rt::Task<bool> List(rt::Scope& term);
+  rt::Task<> Rent(rt::Scope& term);
+  rt::Task<> Return(rt::Scope& term);
+
+  Deps d_;
+  fleet::Renter renter_;
+  net::HttpClient cloud_;
+  store::Budget budget_;
+  std::vector<plan::Want> wants_;
+  double flavors_at_ = -1;
+  int list_pages_ = 0;  // of the last list
+};
+
+}  // namespace hallpier::app
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -67,7 +67,7 @@
       replica_(root_, client_, settings_.report_s,
                [this](const std::string& key, const std::string& value) { OnState(key, value); }),
       formats_(root_, settings_, client_, replica_),
-      finals_(root_, client_, replica_, ledger_, [this] { duties_.OnReleased(); }),
+      finals_(root_, client_, replica_, ledger_, [this] { duties_.OnNews(); }),
       leadership_(root_, settings_, operators_, client_, replica_,
                   [this](rt::Scope& term) { duties_.Begin(term); }),
       duties_({&settings_, &operators_, &client_, &replica_, &formats_, &ledger_, &flavors_,
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -15,18 +15,9 @@
 constexpr double kRoundRest = 5;
 // A direct command is given up after this part of a report period: the next report is better.
 constexpr double kTellRatio = 0.9;
-constexpr double kCloudTimeoutS = 5;
-// Part of the cloud's request limit that the regular listing may use.
-constexpr double kListShare = 0.2;
-// Machine types are asked for anew after this many report periods.
-constexpr double kFlavorReports = 20;
-constexpr size_t kReturnsPerCall = 100;
-// Who hears too few workers leaves the lead to another for this part of their lease.
-constexpr double kResignRatio = 1.0;
 // Connections for direct commands, in use and kept, as a part of this machine's sockets.
 constexpr double kCommandSockets = 0.08;
 constexpr size_t kMaxWorkerBody = 256 * 1024;
-constexpr size_t kMaxCloudBody = 1024 * 1024;
 
 size_t HashOf(const std::vector<wire::Write>& writes) {
   std::string all;
@@ -40,12 +31,11 @@
     : d_(deps),
       roster_({d_.settings->report_s, d_.settings->lease_s, d_.settings->list_lag_s,
                d_.operators->silent_ratio}),
-      renter_(*d_.settings, *d_.operators),
       most_told_(
           std::max<size_t>(1, static_cast<size_t>(kCommandSockets * d_.settings->max_sockets))),
       workers_(1, kMaxWorkerBody, most_told_),
-      cloud_(2, kMaxCloudBody),
-      cloud_budget_(d_.settings->cloud_rps * 0.8, 2.0, 0) {
+      cloud_({d_.settings, d_.operators, d_.client, d_.replica, d_.ledger, d_.flavors,
+              d_.leadership, &roster_, &context_, [this] { OnNews(); }}) {
   context_.settings = d_.settings;
   context_.operators = d_.operators;
 }
@@ -59,13 +49,11 @@
   to_tell_.clear();
   tell_queue_.clear();
   urgent_came_ = false;
-  wants_.clear();
   alone_.clear();
   refused_.clear();
-  flavors_at_ = -1;
   work_waits_ = true;  // what the former leader left undone
   term.Spawn(RoundLoop(term));
-  term.Spawn(CloudLoop(term));
+  term.Spawn(cloud_.Run(term));
 }
 
 void Duties::OnJobChanged(const std::string& id) {
@@ -83,7 +71,7 @@
   work_.Notify();
 }
 
-void Duties::OnReleased() {
+void Duties::OnNews() {
   work_waits_ = true;
   work_.Notify();
 }
@@ -146,7 +134,7 @@
   for (const auto& [why, n] : requeued) spdlog::info("{} tasks back from {}", n, why);
   plan::RoundResult plan = plan::PlanRound(context_, *d_.ledger, roster_, begin, d_.time_of_day());
   round_took_ = term.loop().Now() - begin;
-  wants_ = std::move(plan.wants);
+  cloud_.Want(std::move(plan.wants));
   if (!plan.places.empty() || !plan.preemptions.empty()) {
     spdlog::info("round: {} waiting, {} placed, {} stopped for others, {:.1f} ms", plan.waiting,
                  plan.places.size(), plan.preemptions.size(), round_took_ * 1000);
@@ -325,154 +313,4 @@
   }
 }
 
-rt::Task<std::optional<wire::HttpResponse>> Duties::CallCloud(rt::Scope& term,
-                                                              wire::HttpRequest request) {
-  const double wait = cloud_budget_.Take(term.loop().Now(), 1, store::Urgent::kYes, kCloudTimeoutS);
-  if (wait < 0) co_return std::nullopt;
-  if (wait > 0) {
-    rt::Sleep pause(term, wait);
-    co_await pause;
-  }
-  const bool repeatable = request.method == "GET";
-  auto r = co_await cloud_.Call(term, d_.settings->cloud, std::move(request), kCloudTimeoutS,
-                                repeatable);
-  co_return r;
-}
-
-rt::Task<> Duties::LearnFlavors(rt::Scope& term) {
-  const double now = term.loop().Now();
-  if (flavors_at_ >= 0 && now - flavors_at_ < kFlavorReports * d_.settings->report_s) co_return;
-  wire::HttpRequest q{.method = "GET", .target = "/flavors", .body = {}};
-  auto r = co_await CallCloud(term, std::move(q));
-  if (!r || r->status != 200) co_return;
-  auto doc = wire::ParseObject(r->body);
-  auto flavors = doc ? wire::ReadFlavors(*doc) : std::nullopt;
-  if (!flavors || flavors->empty()) {
-    spdlog::warn("cloud: the list of machine types can't be read");
-    co_return;
-  }
-  flavors_at_ = now;
-  context_.flavors = std::move(*flavors);
-  // Prices move all the time; the others need to know only what could run.
-  auto plain = context_.flavors;
-  for (auto& f : plain) f.spot_price = f.price;
-  const std::string value = wire::WriteFlavors(plain);
-  if (value == wire::WriteFlavors(*d_.flavors)) co_return;
-  const std::string key = store::FlavorsKey();
-  std::vector<wire::Guard> guards = {{store::BlockKey(0), d_.leadership->token()}};
-  std::vector<wire::Write> writes = {{key, value, 0}};
-  auto w = co_await d_.client->Txn(std::move(guards), std::move(writes));
-  if (w.ok()) {
-    d_.replica->Apply(key, value, w.value.revision);
-  } else if (w.status != store::Status::kInvalid) {
-    flavors_at_ = -1;  // refused as it is, it can wait for its usual turn
-  }
-  work_waits_ = true;
-  work_.Notify();
-}
-
-rt::Task<bool> Duties::ListMachines(rt::Scope& term) {
-  const double asked = term.loop().Now();
-  std::vector<wire::Listed> all;
-  std::string after;
-  list_pages_ = 0;
-  while (!term.cancelled()) {
-    std::string target = "/rentals?limit=500";
-    if (!after.empty()) target += "&from=" + wire::EscapeQuery(after);
-    wire::HttpRequest q{.method = "GET", .target = std::move(target), .body = {}};
-    auto r = co_await CallCloud(term, std::move(q));
-    if (!r || r->status != 200) co_return false;
-    ++list_pages_;
-    auto page = wire::ReadMachineList(r->body);
-    if (!page) {
-      spdlog::warn("cloud: the list of machines can't be read");
-      co_return false;
-    }
-    for (auto& m : page->machines) all.push_back(std::move(m));
-    if (!page->more || page->machines.empty()) break;
-    after = all.back().machine;
-  }
-  if (term.cancelled()) co_return false;
-  roster_.OnListed(all, asked, term.loop().Now());
-  co_return true;
-}
-
-rt::Task<> Duties::Rent(rt::Scope& term) {
-  const auto most = static_cast<size_t>(std::ceil(d_.settings->cloud_rps));
-  auto rentals =
-      renter_.Rentals(wants_, context_.flavors, d_.leadership->token(), most, term.loop().Now());
-  // An offer that has run dry in between is not asked again.
-  std::set<std::tuple<std::string, std::string, bool>> dry;
-  for (const wire::Rental& r : rentals) {
-    if (dry.contains({r.flavor, r.zone, r.spot})) continue;
-    if (term.cancelled() || !d_.leadership->Entitled()) co_return;
-    wire::HttpRequest q{.method = "POST", .target = "/rentals", .body = wire::WriteRental(r)};
-    auto answer = co_await CallCloud(term, std::move(q));
-    const double now = term.loop().Now();
-    if (!answer) {
-      spdlog::warn("cloud: no answer to rental {}", r.request);
-      co_return;
-    }
-    if (answer->status == 200) {
-      auto names = wire::ReadRented(answer->body);
-      if (!names) continue;
-      spdlog::info("rented {} of {} {} in {} ({})", names->size(), r.count, r.flavor, r.zone,
-                   r.spot ? "spot" : "ordinary");
-      roster_.OnRented(*names, r, now);
-      if (static_cast<int>(names->size()) == r.count) continue;
-    } else if (answer->body.find("no capacity") == std::string::npos) {
-      co_return;
-    }
-    renter_.OnShort(r, now);
-    dry.insert({r.flavor, r.zone, r.spot});
-  }
-  // What rounds wanted meanwhile did not know of these machines yet.
-  wants_.clear();
-}
-
-rt::Task<> Duties::ReturnMachines(rt::Scope& term) {
-  std::vector<std::string> names;
-  for (const auto& [name, m] : roster_.all()) {
-    if (!m.returning || names.size() >= kReturnsPerCall) continue;
-    names.push_back(name);
-  }
-  // A former leader's judgement must not take machines from its successor.
-  if (names.empty() || !d_.leadership->Entitled()) co_return;
-  wire::HttpRequest q{
-      .method = "POST", .target = "/rentals/return", .body = wire::WriteReturn(names)};
-  auto r = co_await CallCloud(term, std::move(q));
-  if (!r || r->status != 200) co_return;
-  for (const auto& name : names) {
-    spdlog::info("machine {} returned", name);
-    roster_.OnReturned(name);
-  }
-  work_waits_ = true;
-  work_.Notify();
-}
-
-rt::Task<> Duties::CloudLoop(rt::Scope& term) {
-  const double per_call = 1 / (kListShare * d_.settings->cloud_rps);
-  double list_at = 0;
-  bool listed = false;
-  while (!term.cancelled()) {
-    co_await LearnFlavors(term);
-    if (term.loop().Now() >= list_at) {
-      listed = co_await ListMachines(term);
-      // A long list takes many calls: it comes the less often.
-      list_at = term.loop().Now() + std::max(d_.settings->report_s / 3, per_call * list_pages_);
-    }
-    if (term.cancelled()) break;
-    const double now = term.loop().Now();
-    const bool heard = renter_.Review(roster_, *d_.ledger, context_, !wants_.empty(), now);
-    if (!heard) {
-      d_.leadership->Resign(kResignRatio * d_.settings->lease_s, "most workers are silent");
-      break;
-    }
-    co_await ReturnMachines(term);
-    if (listed) co_await Rent(term);
-    rt::Sleep pause(term, per_call);
-    co_await pause;
-  }
-}
-
 }  // namespace hallpier::app
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -1,4 +1,4 @@
-// What only the leader does: rounds, commits, orders to workers, renting.
+// What only the leader does: rounds, commits, orders to workers; renting lies in CloudDuty.
 #pragma once
 
 #include <deque>
@@ -6,8 +6,8 @@
 #include <set>
 #include <string>
 
+#include "app/cloud_duty.h"
 #include "config/settings.h"
-#include "fleet/renter.h"
 #include "fleet/roster.h"
 #include "jobs/batch.h"
 #include "jobs/ledger.h"
@@ -39,8 +39,8 @@
   void Begin(rt::Scope& term);
   // A job's record has changed; the leader looks at it in the next round.
   void OnJobChanged(const std::string& id);
-  // Jobs may have come free of what they awaited.
-  void OnReleased();
+  // Something came that a round should look at: room, or the end of an awaited job.
+  void OnNews();
   // A worker's report, and what it is to be told.
   wire::HttpResponse OnCheckin(const wire::Report& report);
 
@@ -57,12 +57,6 @@
   void OnTooLarge(const std::vector<wire::Write>& writes);
   bool Refused(const std::vector<wire::Write>& writes) const;
   jobs::BatchLimits Limits() const;
-  rt::Task<> CloudLoop(rt::Scope& term);
-  rt::Task<bool> ListMachines(rt::Scope& term);
-  rt::Task<> LearnFlavors(rt::Scope& term);
-  rt::Task<> Rent(rt::Scope& term);
-  rt::Task<> ReturnMachines(rt::Scope& term);
-  rt::Task<std::optional<wire::HttpResponse>> CallCloud(rt::Scope& term, wire::HttpRequest request);
   void NoteFinals(const std::vector<wire::Write>& writes);
   // Adds a line for the log if the write makes a job final.
   void DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const;
@@ -72,12 +66,10 @@
 
   Deps d_;
   fleet::Roster roster_;
-  fleet::Renter renter_;
   plan::Context context_;
   const size_t most_told_;  // direct commands at a time
   net::HttpClient workers_;
-  net::HttpClient cloud_;
-  store::Budget cloud_budget_;
+  CloudDuty cloud_;
   rt::Scope* term_ = nullptr;
   rt::Event work_;
   bool work_waits_ = false;
@@ -87,11 +79,8 @@
   std::set<std::string> told_;             // machines with a direct command under way
   std::set<std::string> to_tell_;       // and those that need one after it, or once there is room
   std::deque<std::string> tell_queue_;  // of these, those that have none under way, oldest first
-  std::vector<plan::Want> wants_;
   uint64_t term_began_ = 0;
   double round_took_ = 0;
-  double flavors_at_ = -1;
-  int list_pages_ = 0;  // of the last list
 };
 
 }  // namespace hallpier::app
--- a/src/jobs/batch.cc
+++ b/src/jobs/batch.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <set>
 
+#include "store/packed.h"
+
 namespace hallpier::jobs {
 namespace {
 
--- a/src/store/formats.cc
+++ b/src/store/formats.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <random>
 
+#include "store/packed.h"
+
 namespace hallpier::store {
 
 Layout CommonLayout(const config::Settings& settings) {
--- a/src/store/shard.h
+++ b/src/store/shard.h
@@ -1,7 +1,6 @@
-// Groups of a job's tasks, many in one value, in the two forms that they are kept in.
+// Groups of a job's tasks, many in one value, and how tasks are divided into groups.
 //
-// The text form is what versions without pipelines read and write. The packed one says the same in
-// a fifth of the room and is written only once every node reads it (store::Formats).
+// The text form is what versions without pipelines read and write; store/packed.h has the other.
 #pragma once
 
 #include <algorithm>
@@ -49,19 +48,16 @@
   bool empty() const { return done.size() == 0 && open.empty() && runs.empty(); }
 };
 std::string WriteShard(const Shard& shard);
-// Of the tasks from `first` on, `count` of them. A group that holds others is written as text:
-// nothing of it may get lost.
-std::string WritePacked(const Shard& shard, uint32_t first, uint32_t count);
 // Takes either form.
 std::optional<Shard> ReadShard(std::string_view json);
+// What both forms have alike.
+void WriteRuns(wire::JsonWriter& w, const Shard& shard);
+bool ReadRuns(const wire::JsonValue& v, Shard* s);
 
 // Tasks that share a value in the text form, so that with names of usual length the largest stays
 // within `value_kb`. Where names are longer, placements that no longer fit wait (jobs::BuildTxns).
 // Versions without pipelines reckon the same: a group's number means nothing without it.
 uint32_t TasksPerShard(double value_kb);
-// The same for the packed form.
-uint32_t TasksPerPacked(double value_kb);
-
 // How a job's tasks are divided into groups. A group's key names a whole; where wholes had become
 // too large for the limits, each was carried over to parts with keys of their own.
 struct Layout {
--- a/tests/records_test.cc
+++ b/tests/records_test.cc
@@ -4,6 +4,7 @@
 
 #include "fixtures.h"
 #include "jobs/batch.h"
+#include "store/packed.h"
 #include "wire/digits.h"
 #include "wire/peer.h"
 
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -1,6 +1,7 @@
 // The upgrade, with both versions at work on the same data: what the new one writes beside the old
 // one, what it does with the old one's records, and when newer forms begin.
 #include "end_to_end.h"
+#include "store/packed.h"
 
 namespace hallpier {
 namespace {
