Machine types take several values where one is too small; tests of rates and refusals

At 2 KB a list of more than eleven types would have been refused for good, and no submission taken on a fresh deployment.

--- a/src/app/cloud_duty.cc
+++ b/src/app/cloud_duty.cc
@@ -4,9 +4,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <set>
 #include <tuple>
 
+#include "store/flavor_pages.h"
+
 namespace hallpier::app {
 namespace {
 
@@ -59,16 +62,26 @@
   // Prices move all the time; the others need to know only what could run.
   auto plain = d_.context->flavors;
   for (auto& f : plain) f.spot_price = f.price;
-  const std::string value = wire::WriteFlavors(plain);
-  if (value == wire::WriteFlavors(*d_.flavors)) co_return;
-  const std::string key = store::FlavorsKey();
-  std::vector<wire::Guard> guards = {{store::BlockKey(0), d_.leadership->token()}};
-  std::vector<wire::Write> writes = {{key, value, 0}};
-  auto w = co_await d_.client->Txn(std::move(guards), std::move(writes));
-  if (w.ok()) {
-    d_.replica->Apply(key, value, w.value.revision);
-  } else if (w.status != store::Status::kInvalid) {
-    flavors_at_ = -1;  // refused as it is, it can wait for its usual turn
+  if (wire::WriteFlavors(plain) == wire::WriteFlavors(*d_.flavors)) co_return;
+  auto pages = store::WriteFlavorPages(plain, d_.formats->value_bytes());
+  const auto page_count = static_cast<uint32_t>(pages.size());
+  // Versions without pipelines know one value only, and what is left of a longer list is in the
+  // way.
+  uint32_t end = page_count;
+  while (d_.replica->Stamp(store::FlavorsKey(end)) != 0) ++end;
+  bool written = true;
+  // The first page last: it says that the others are there.
+  for (uint32_t n = end; n-- > 0 && written;) {
+    const std::string key = store::FlavorsKey(n);
+    const std::string value = n < page_count ? pages[n] : std::string();
+    std::vector<wire::Guard> guards = {{store::BlockKey(0), d_.leadership->token()}};
+    std::vector<wire::Write> writes = {{key, value, 0}};
+    auto w = co_await d_.client->Txn(std::move(guards), std::move(writes));
+    if (term.cancelled()) co_return;
+    written = w.ok();
+    if (w.ok()) d_.replica->Apply(key, value, w.value.revision);
+    // Refused as it is, it can wait for its usual turn.
+    if (!w.ok() && w.status != store::Status::kInvalid) flavors_at_ = -1;
   }
   d_.changed();
 }
--- a/src/app/cloud_duty.h
+++ b/src/app/cloud_duty.h
@@ -14,6 +14,7 @@
 #include "plan/round.h"
 #include "store/budget.h"
 #include "store/client.h"
+#include "store/formats.h"
 #include "store/replica.h"
 
 namespace hallpier::app {
@@ -25,6 +26,7 @@
     const config::Operator* operators;
     store::Client* client;
     store::Replica* replica;
+    store::Formats* formats;
     jobs::Ledger* ledger;
     std::vector<wire::Flavor>* flavors;
     lead::Leadership* leadership;
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -133,12 +133,10 @@
     case store::KeyKind::kLeader:
       leadership_.OnRecord(value);
       break;
-    case store::KeyKind::kFlavors: {
-      auto doc = wire::ParseObject(value);
-      auto flavors = doc ? wire::ReadFlavors(*doc) : std::nullopt;
-      if (flavors) flavors_ = std::move(*flavors);
+    case store::KeyKind::kFlavors:
+      flavor_pages_.Put(parsed.shard, value);
+      if (auto all = flavor_pages_.All()) flavors_ = std::move(*all);
       break;
-    }
     case store::KeyKind::kFormat:
       ledger_.Apply(parsed, value);
       formats_.OnRecord(value);
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -13,6 +13,7 @@
 #include "net/peer_mesh.h"
 #include "rt/loop.h"
 #include "store/client.h"
+#include "store/flavor_pages.h"
 #include "store/formats.h"
 #include "store/replica.h"
 
@@ -40,6 +41,7 @@
   rt::Scope root_;
   rt::Scope ending_;
   jobs::Ledger ledger_;
+  store::FlavorPages flavor_pages_;
   std::vector<wire::Flavor> flavors_;
   store::Client client_;
   store::Replica replica_;
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -34,7 +34,7 @@
       most_told_(
           std::max<size_t>(1, static_cast<size_t>(kCommandSockets * d_.settings->max_sockets))),
       workers_(1, kMaxWorkerBody, most_told_),
-      cloud_({d_.settings, d_.operators, d_.client, d_.replica, d_.ledger, d_.flavors,
+      cloud_({d_.settings, d_.operators, d_.client, d_.replica, d_.formats, d_.ledger, d_.flavors,
               d_.leadership, &roster_, &context_, [this] { OnNews(); }}) {
   context_.settings = d_.settings;
   context_.operators = d_.operators;
--- a/src/store/schema.cc
+++ b/src/store/schema.cc
@@ -22,7 +22,10 @@
 
 std::string LeaderKey() { return std::string(kActive) + "leader"; }
 std::string BlockKey(int block) { return std::string(kActive) + "block/" + std::to_string(block); }
-std::string FlavorsKey() { return std::string(kActive) + "flavors"; }
+std::string FlavorsKey(uint32_t page) {
+  const std::string first = std::string(kActive) + "flavors";
+  return page == 0 ? first : first + "." + std::to_string(page);
+}
 std::string JobKey(std::string_view id) { return std::string(kJobs).append(id); }
 std::string FinalKey(std::string_view id) { return std::string(kFinals).append(id); }
 
@@ -47,6 +50,11 @@
     out.kind = KeyKind::kBlock;
   } else if (key == FlavorsKey()) {
     out.kind = KeyKind::kFlavors;
+  } else if (key.starts_with(FlavorsKey() + ".")) {
+    auto page = ParseIndex(key.substr(FlavorsKey().size() + 1));
+    if (!page || *page == 0) return out;
+    out.kind = KeyKind::kFlavors;
+    out.shard = *page;
   } else if (key == FormatKey()) {
     out.kind = KeyKind::kFormat;
   } else if (key.starts_with(kMarks)) {
--- a/src/store/schema.h
+++ b/src/store/schema.h
@@ -16,7 +16,7 @@
 
 std::string LeaderKey();
 std::string BlockKey(int block);
-std::string FlavorsKey();
+std::string FlavorsKey(uint32_t page = 0);
 std::string JobKey(std::string_view id);
 std::string ShardKey(std::string_view id, uint32_t shard);
 std::string PartKey(std::string_view id, uint32_t shard, uint32_t part);
@@ -27,8 +27,8 @@
 enum class KeyKind { kLeader, kBlock, kFlavors, kFormat, kMark, kJob, kShard, kFinal, kOther };
 struct ParsedKey {
   KeyKind kind = KeyKind::kOther;
-  std::string job;  // kMark: the node
-  uint32_t shard = 0;
+  std::string job;               // kMark: the node
+  uint32_t shard = 0;            // kFlavors: the page
   std::optional<uint32_t> part;  // of the shard; nothing: the whole
 };
 ParsedKey ParseKey(std::string_view key);
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -389,7 +389,7 @@
   return out;
 }
 
-std::string WriteFlavors(const std::vector<Flavor>& flavors) {
+std::string WriteFlavors(const std::vector<Flavor>& flavors, uint64_t pages) {
   JsonWriter w;
   w.StartObject();
   w.Field("flavors").StartArray();
@@ -409,6 +409,7 @@
     w.EndObject();
   }
   w.EndArray();
+  if (pages > 0) w.Field("pages").Uint64(pages);
   w.EndObject();
   return w.Take();
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -140,7 +140,8 @@
 };
 const Flavor* FindFlavor(const std::vector<Flavor>& flavors, std::string_view name);
 std::optional<std::vector<Flavor>> ReadFlavors(const JsonValue& v);
-std::string WriteFlavors(const std::vector<Flavor>& flavors);
+// `pages`: of how many lists this is the first; 0: it is the only one, or not the first.
+std::string WriteFlavors(const std::vector<Flavor>& flavors, uint64_t pages = 0);
 
 struct Rental {
   std::string request;
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -321,5 +321,45 @@
 
 TEST_F(LateAnswer, BringsNothingBack) { Run(Script()); }
 
+// The limits go down without notice: what is allowed is used as long as it is, and the first
+// refusal makes the client keep to the lower ones. Before the upgrade is over, a refusal means
+// nothing of the kind.
+class LowerRates : public NetTest {
+ public:
+  rt::Task<int> Refusals(store::Client& client, standins::State& state, double s) {
+    const int before = state.refused();
+    const double end = loop_.Now() + s;
+    for (int i = 0; loop_.Now() < end; ++i) {
+      std::vector<wire::Guard> guards;
+      std::vector<wire::Write> writes = {{"hallpier/x", "{}", 0}};
+      auto r = co_await client.Txn(std::move(guards), std::move(writes), store::Urgent::kYes);
+      (void)r;
+    }
+    co_return state.refused() - before;
+  }
+  rt::Task<> Script() {
+    std::string error;
+    standins::State state(scope_);
+    EXPECT_TRUE(state.Listen(At(5), &error)) << error;
+    state.SetLimits({0, 0, 20});
+    store::Client::Options options = StateAt(5);
+    options.write_rps = 100;
+    options.next_rps = 1000;
+    options.next_write_rps = 20;
+    store::Client client(scope_, options);
+    int refused = co_await Refusals(client, state, 0.6);
+    EXPECT_GT(refused, 2);
+    EXPECT_FALSE(client.lowered()) << "no formats have changed yet";
+    client.ExpectLowered();
+    refused = co_await Refusals(client, state, 1.5);
+    EXPECT_TRUE(client.lowered());
+    EXPECT_LE(refused, 2);
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+};
+
+TEST_F(LowerRates, AreKeptToFromTheFirstRefusalOn) { Run(Script()); }
+
 }  // namespace
 }  // namespace hallpier
--- a/tests/records_test.cc
+++ b/tests/records_test.cc
@@ -4,6 +4,7 @@
 
 #include "fixtures.h"
 #include "jobs/batch.h"
+#include "store/flavor_pages.h"
 #include "store/packed.h"
 #include "wire/digits.h"
 #include "wire/peer.h"
@@ -187,6 +188,24 @@
   EXPECT_EQ(back->spec.team, "team");
 }
 
+TEST(Records, ALongListOfMachineTypesTakesSeveralValues) {
+  std::vector<wire::Flavor> flavors;
+  for (int i = 0; i < 40; ++i) flavors.push_back(FlavorOf("c" + std::to_string(i), i + 1));
+  EXPECT_EQ(WriteFlavorPages({flavors[0]}, 2048).at(0), wire::WriteFlavors({flavors[0]}));
+  const auto pages = WriteFlavorPages(flavors, 2048);
+  ASSERT_GT(pages.size(), 2u);
+  FlavorPages read;
+  for (uint32_t n = static_cast<uint32_t>(pages.size()); n-- > 0;) {
+    EXPECT_LE(pages[n].size(), 2048u);
+    EXPECT_FALSE(read.All()) << "a part of it says nothing";
+    read.Put(n, pages[n]);
+  }
+  ASSERT_TRUE(read.All());
+  EXPECT_EQ(wire::WriteFlavors(*read.All()), wire::WriteFlavors(flavors));
+  EXPECT_EQ(ParseKey(FlavorsKey(3)).shard, 3u);
+  EXPECT_EQ(ParseKey(FlavorsKey(3)).kind, KeyKind::kFlavors);
+}
+
 TEST(Records, AwaitedJobsAndTheLayoutAreKept) {
   JobRecord job;
   job.spec = Spec("run-3", 4);
@@ -310,6 +329,30 @@
   EXPECT_EQ(other.Leftovers().size(), 2u) << "both forms go with the job";
 }
 
+// Something in a transaction was refused: what was in it goes by itself the next time, so that it
+// holds up nothing else.
+TEST(Refused, GoAlone) {
+  Ledger ledger(64);
+  std::vector<Mutation> all;
+  for (const char* id : {"run-1", "run-2", "run-3"}) {
+    PutJob(ledger, Spec(id, 2));
+    Mutation m;
+    m.task = {id, 0};
+    m.attempt = 1;
+    m.machine = "vm-1";
+    all.push_back(m);
+  }
+  std::set<std::string> alone;
+  BatchLimits limits = {8, "block", 5, 0, 0, true, 0, &alone};
+  auto stamp = [](const std::string&) { return 1; };
+  EXPECT_EQ(BuildTxns(ledger, all, limits, stamp).size(), 1u);
+  alone.insert(store::ShardKey("run-2", 0));
+  auto txns = BuildTxns(ledger, all, limits, stamp);
+  ASSERT_EQ(txns.size(), 3u);
+  EXPECT_EQ(txns[1].writes.size(), 1u);
+  EXPECT_EQ(txns[1].writes[0].key, store::ShardKey("run-2", 0));
+}
+
 // A job whose record names its layout is read by that, whatever the settings or other jobs say.
 TEST(Layouts, AreTheJobsOwn) {
   Ledger ledger(40);
