What nobody waits for gives way, but never for ever

They come before ends of single tasks now, and one transaction of either in each quarter of a report period. A refusal for size is told by sizes: final records hold the time.

--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -17,12 +17,16 @@
 constexpr double kTellRatio = 0.9;
 // Connections for direct commands, in use and kept, as a part of this machine's sockets.
 constexpr double kCommandSockets = 0.08;
+// However much there is to do, one transaction of what nobody waits for comes in each such part of
+// a report period.
+constexpr double kUnhurriedReports = 1.0 / 4;
 constexpr size_t kMaxWorkerBody = 256 * 1024;
 
-size_t HashOf(const std::vector<wire::Write>& writes) {
-  std::string all;
-  for (const wire::Write& w : writes) all += w.key + ' ' + w.value + '\n';
-  return std::hash<std::string>()(all);
+// What a refusal for size depends on: not on the times that are in final records.
+std::vector<std::pair<std::string, size_t>> SizesOf(const std::vector<wire::Write>& writes) {
+  std::vector<std::pair<std::string, size_t>> out;
+  for (const wire::Write& w : writes) out.emplace_back(w.key, w.value.size());
+  return out;
 }
 
 }  // namespace
@@ -153,6 +157,8 @@
   co_await Commit(term, std::move(mutations));
 }
 
+double Duties::UnhurriedS() const { return kUnhurriedReports * d_.settings->report_s; }
+
 jobs::BatchLimits Duties::Limits() const {
   jobs::BatchLimits limits;
   limits.ops = d_.formats->txn_ops();
@@ -172,8 +178,9 @@
     return;
   }
   if (alone_.contains(writes[0].key)) {
-    spdlog::error("state: {} is refused as it is; it is left until it changes", writes[0].key);
-    refused_[writes[0].key] = HashOf(writes);
+    spdlog::error("state: {} is refused as it is; it is left until it has another size",
+                  writes[0].key);
+    refused_[writes[0].key] = SizesOf(writes);
   } else {
     for (const wire::Write& w : writes) alone_.insert(w.key);
   }
@@ -181,7 +188,7 @@
 
 bool Duties::Refused(const std::vector<wire::Write>& writes) const {
   auto it = refused_.find(writes[0].key);
-  return it != refused_.end() && it->second == HashOf(writes);
+  return it != refused_.end() && it->second == SizesOf(writes);
 }
 
 rt::Task<> Duties::Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations) {
@@ -195,21 +202,24 @@
   const double begin = term.loop().Now();
   std::map<jobs::Rank, size_t> asked;
   for (const jobs::Txn& t : txns) asked[t.rank] += t.writes.size();
-  spdlog::debug("commit: {} urgent starts, {} ends of jobs, {} starts, {} outcomes",
+  spdlog::debug("commit: {} urgent starts, {} ends of jobs, {} starts, {} to tidy up, {} outcomes",
                 asked[jobs::Rank::kUrgentStart], asked[jobs::Rank::kEnd], asked[jobs::Rank::kStart],
-                asked[jobs::Rank::kOutcome]);
+                asked[jobs::Rank::kTidy], asked[jobs::Rank::kOutcome]);
   for (jobs::Txn& t : txns) {
     // What the budget has no room for now is decided anew, with what has come in meanwhile; so is
     // all the rest once there is urgent work that could go before it.
     const double left = begin + d_.operators->round_s - term.loop().Now();
-    // Ends of single tasks give way to anything new: their machines keep them meanwhile, and those
-    // that have waited for long are ranked higher.
-    const bool gives_way = work_waits_ && t.rank == jobs::Rank::kOutcome;
+    // What nobody waits for gives way to anything new, but for one transaction now and then: on a
+    // busy day there is always something new, and nothing may be left for ever.
+    const bool waits = t.rank >= jobs::Rank::kTidy;
+    const double now = term.loop().Now();
+    const bool gives_way = waits && work_waits_ && now < unhurried_at_ + UnhurriedS();
     if (left <= 0 || gives_way || (urgent_came_ && t.rank > jobs::Rank::kEnd)) {
       work_waits_ = true;
       co_return;
     }
     if (Refused(t.writes)) continue;
+    if (waits) unhurried_at_ = now;
     const auto writes = t.writes;
     // Taken now: the watch may bring the end before the answer does.
     std::vector<std::string> ends;
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -57,6 +57,7 @@
   void OnTooLarge(const std::vector<wire::Write>& writes);
   bool Refused(const std::vector<wire::Write>& writes) const;
   jobs::BatchLimits Limits() const;
+  double UnhurriedS() const;
   void NoteFinals(const std::vector<wire::Write>& writes);
   // Adds a line for the log if the write makes a job final.
   void DescribeEnd(const wire::Write& w, std::vector<std::string>* lines) const;
@@ -74,9 +75,11 @@
   rt::Event work_;
   bool work_waits_ = false;
   std::set<std::string> alone_;  // keys that go alone, since they were refused with others
-  std::map<std::string, size_t> refused_;  // first key and hash of what was refused alone
-  bool urgent_came_ = false;               // prod or urgent work that no round has seen yet
-  std::set<std::string> told_;             // machines with a direct command under way
+  // By first key, what was refused alone: its keys and the sizes of their values.
+  std::map<std::string, std::vector<std::pair<std::string, size_t>>> refused_;
+  double unhurried_at_ = 0;             // when the last transaction was sent that nobody waits for
+  bool urgent_came_ = false;            // prod or urgent work that no round has seen yet
+  std::set<std::string> told_;          // machines with a direct command under way
   std::set<std::string> to_tell_;       // and those that need one after it, or once there is room
   std::deque<std::string> tell_queue_;  // of these, those that have none under way, oldest first
   uint64_t term_began_ = 0;
--- a/src/jobs/batch.cc
+++ b/src/jobs/batch.cc
@@ -119,6 +119,7 @@
     Unit u;
     u.guards = {Guard(key)};
     u.writes = {{key, "", 0}};
+    u.rank = Rank::kTidy;
     units_.push_back(std::move(u));
   }
 
@@ -172,7 +173,7 @@
   // Whoever it awaits can't go before it.
   Rank CancelRank(const std::string& id, const Job& job) const {
     const bool awaited = !ledger_.pipelines().Dependents(id).empty();
-    return awaited || job.held ? Rank::kOutcome : Rank::kEnd;
+    return awaited || job.held ? Rank::kTidy : Rank::kEnd;
   }
 
   wire::Guard Guard(const std::string& key) const { return {key, stamp_(key)}; }
--- a/src/jobs/batch.h
+++ b/src/jobs/batch.h
@@ -16,6 +16,7 @@
   kUrgentStart,  // starts of prod and urgent work
   kEnd,          // a job becomes final, or loses what still ran after its cancellation
   kStart,        // other starts; tasks that wait again; ends that have waited long
+  kTidy,         // jobs cancelled for the sake of others, keys that nothing needs any more
   kOutcome,      // ends of single tasks: their machines keep them meanwhile
 };
 
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -31,7 +31,6 @@
   // What is stored, wholes and parts. A part counts instead of what its whole says of its tasks.
   void NoteStored(const store::ParsedKey& key, bool there);
   bool PartStored(uint32_t number) const { return parts_.contains(number); }
-  bool WholeStored(uint32_t whole) const { return wholes_.contains(whole); }
   // The key under which a group is written.
   std::string KeyOf(const std::string& id, uint32_t number) const;
   // The keys that hold something of a group, wholes first.
--- a/tests/pipelines_test.cc
+++ b/tests/pipelines_test.cc
@@ -238,6 +238,9 @@
     }
   }
   EXPECT_EQ(order, (std::vector<std::string>{"run-3", "run-4", "run-2", "run-1"}));
+  // Before the ends of single tasks all the same: on a busy day these would never end.
+  EXPECT_LT(Rank::kTidy, Rank::kOutcome);
+  EXPECT_GT(Rank::kTidy, Rank::kStart);
 }
 
 }  // namespace
