--- a/src/app/cloud_duty.cc
+++ b/src/app/cloud_duty.cc
@@ -25,8 +25,12 @@
 
 }  // namespace
 
-CloudDuty::CloudDuty(Deps deps)
+CloudDuty::CloudDuty(LeaderDeps deps, fleet::Roster& roster, plan::Context& context,
+                     std::function<void()> changed)
     : d_(std::move(deps)),
+      roster_(roster),
+      context_(context),
+      changed_(std::move(changed)),
       renter_(*d_.settings, *d_.operators),
       cloud_(2, kMaxCloudBody),
       budget_(d_.settings->cloud_rps * 0.8, 2.0, 0) {}
@@ -58,9 +62,9 @@
     co_return;
   }
   flavors_at_ = now;
-  d_.context->flavors = std::move(*flavors);
+  context_.flavors = std::move(*flavors);
   // Prices move all the time; the others need to know only what could run.
-  auto plain = d_.context->flavors;
+  auto plain = context_.flavors;
   for (auto& f : plain) f.spot_price = f.price;
   if (wire::WriteFlavors(plain) == wire::WriteFlavors(*d_.flavors)) co_return;
   auto pages = store::WriteFlavorPages(plain, d_.formats->value_bytes());
@@ -83,7 +87,7 @@
     // Refused as it is, it can wait for its usual turn.
     if (!w.ok() && w.status != store::Status::kInvalid) flavors_at_ = -1;
   }
-  d_.changed();
+  changed_();
 }
 
 rt::Task<bool> CloudDuty::List(rt::Scope& term) {
@@ -108,14 +112,14 @@
     after = all.back().machine;
   }
   if (term.cancelled()) co_return false;
-  d_.roster->OnListed(all, asked, term.loop().Now());
+  roster_.OnListed(all, asked, term.loop().Now());
   co_return true;
 }
 
 rt::Task<> CloudDuty::Rent(rt::Scope& term) {
   const auto most = static_cast<size_t>(std::ceil(d_.settings->cloud_rps));
   auto rentals =
-      renter_.Rentals(wants_, d_.context->flavors, d_.leadership->token(), most, term.loop().Now());
+      renter_.Rentals(wants_, context_.flavors, d_.leadership->token(), most, term.loop().Now());
   // An offer that has run dry in between is not asked again.
   std::set<std::tuple<std::string, std::string, bool>> dry;
   for (const wire::Rental& r : rentals) {
@@ -133,7 +137,7 @@
       if (!names) continue;
       spdlog::info("rented {} of {} {} in {} ({})", names->size(), r.count, r.flavor, r.zone,
                    r.spot ? "spot" : "ordinary");
-      d_.roster->OnRented(*names, r, now);
+      roster_.OnRented(*names, r, now);
       if (static_cast<int>(names->size()) == r.count) continue;
     } else if (answer->body.find("no capacity") == std::string::npos) {
       co_return;
@@ -147,7 +151,7 @@
 
 rt::Task<> CloudDuty::Return(rt::Scope& term) {
   std::vector<std::string> names;
-  for (const auto& [name, m] : d_.roster->all()) {
+  for (const auto& [name, m] : roster_.all()) {
     if (!m.returning || names.size() >= kReturnsPerCall) continue;
     names.push_back(name);
   }
@@ -159,9 +163,9 @@
   if (!r || r->status != 200) co_return;
   for (const auto& name : names) {
     spdlog::info("machine {} returned", name);
-    d_.roster->OnReturned(name);
+    roster_.OnReturned(name);
   }
-  d_.changed();
+  changed_();
 }
 
 rt::Task<> CloudDuty::Run(rt::Scope& term) {
@@ -180,7 +184,7 @@
     }
     if (term.cancelled()) break;
     const double now = term.loop().Now();
-    const bool heard = renter_.Review(*d_.roster, *d_.ledger, *d_.context, !wants_.empty(), now);
+    const bool heard = renter_.Review(roster_, *d_.ledger, context_, !wants_.empty(), now);
     if (!heard) {
       d_.leadership->Resign(kResignRatio * d_.settings->lease_s, "most workers are silent");
       break;
--- a/src/app/cloud_duty.h
+++ b/src/app/cloud_duty.h
@@ -5,36 +5,20 @@
 #include <optional>
 #include <vector>
 
-#include "config/settings.h"
+#include "app/leader_deps.h"
 #include "fleet/renter.h"
 #include "fleet/roster.h"
-#include "jobs/ledger.h"
-#include "lead/leadership.h"
 #include "net/http_client.h"
 #include "plan/round.h"
 #include "store/budget.h"
-#include "store/client.h"
-#include "store/formats.h"
-#include "store/replica.h"
 
 namespace hallpier::app {
 
 class CloudDuty {
  public:
-  struct Deps {
-    const config::Settings* settings;
-    const config::Operator* operators;
-    store::Client* client;
-    store::Replica* replica;
-    store::Formats* formats;
-    jobs::Ledger* ledger;
-    std::vector<wire::Flavor>* flavors;
-    lead::Leadership* leadership;
-    fleet::Roster* roster;
-    plan::Context* context;
-    std::function<void()> changed;  // a round should look at it
-  };
-  explicit CloudDuty(Deps deps);
+  // `changed`: something came that a round should look at.
+  CloudDuty(LeaderDeps deps, fleet::Roster& roster, plan::Context& context,
+            std::function<void()> changed);
 
   // The routine of a term; it ends with the scope, or once the lead is given up.
   rt::Task<> Run(rt::Scope& term);
@@ -48,7 +32,10 @@
   rt::Task<> Rent(rt::Scope& term);
   rt::Task<> Return(rt::Scope& term);
 
-  Deps d_;
+  LeaderDeps d_;
+  fleet::Roster& roster_;
+  plan::Context& context_;
+  const std::function<void()> changed_;
   fleet::Renter renter_;
   net::HttpClient cloud_;
   store::Budget budget_;
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -31,15 +31,14 @@
 
 }  // namespace
 
-Duties::Duties(Deps deps)
-    : d_(deps),
+Duties::Duties(LeaderDeps deps)
+    : d_(std::move(deps)),
       roster_({d_.settings->report_s, d_.settings->lease_s, d_.settings->list_lag_s,
                d_.operators->silent_ratio}),
       most_told_(
           std::max<size_t>(1, static_cast<size_t>(kCommandSockets * d_.settings->max_sockets))),
       workers_(1, kMaxWorkerBody, most_told_),
-      cloud_({d_.settings, d_.operators, d_.client, d_.replica, d_.formats, d_.ledger, d_.flavors,
-              d_.leadership, &roster_, &context_, [this] { OnNews(); }}) {
+      cloud_(d_, roster_, context_, [this] { OnNews(); }) {
   context_.settings = d_.settings;
   context_.operators = d_.operators;
 }
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -7,33 +7,17 @@
 #include <string>
 
 #include "app/cloud_duty.h"
-#include "config/settings.h"
+#include "app/leader_deps.h"
 #include "fleet/roster.h"
 #include "jobs/batch.h"
-#include "jobs/ledger.h"
-#include "lead/leadership.h"
 #include "net/http_client.h"
 #include "plan/round.h"
-#include "store/client.h"
-#include "store/formats.h"
-#include "store/replica.h"
 
 namespace hallpier::app {
 
 class Duties {
  public:
-  struct Deps {
-    const config::Settings* settings;
-    const config::Operator* operators;
-    store::Client* client;
-    store::Replica* replica;
-    store::Formats* formats;
-    jobs::Ledger* ledger;
-    std::vector<wire::Flavor>* flavors;
-    lead::Leadership* leadership;
-    std::function<double()> time_of_day;
-  };
-  explicit Duties(Deps deps);
+  explicit Duties(LeaderDeps deps);
 
   // Starts the duties of a term; they end with its scope.
   void Begin(rt::Scope& term);
@@ -65,7 +49,7 @@
   void Tell(rt::Scope& term, const std::string& machine);
   rt::Task<> TellLoop(rt::Scope& term, std::string machine);
 
-  Deps d_;
+  LeaderDeps d_;
   fleet::Roster roster_;
   plan::Context context_;
   const size_t most_told_;  // direct commands at a time
