--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -159,6 +159,18 @@
     return w.Take();
   }
 
+  // Of a worker that is there for nobody else: whoever answers it may give orders.
+  static std::string Report(uint64_t tick) {
+    return R"({"host":"vm-x","endpoint":"127.0.0.1:1","flavor":"odd","hall":"a","lendable":false,)"
+           R"("tenure":1,"tick":)" +
+           std::to_string(tick) + R"(,"epoch":0,"reclaimS":null,"pieces":[]})";
+  }
+
+  rt::Task<> Pause(double s) {
+    rt::Sleep pause(scope_, s);
+    co_await pause;
+  }
+
   // Asks again, as users do, until the answer has the wanted status.
   rt::Task<bool> Until(int node, std::string method, std::string target, std::string body,
                        int status, std::string text, double limit_s) {
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -185,12 +185,6 @@
     run_s_ = 1;
   }
 
-  static std::string Report(uint64_t tick) {
-    return R"({"host":"vm-x","endpoint":"127.0.0.1:1","flavor":"odd","hall":"a","lendable":false,)"
-           R"("tenure":1,"tick":)" +
-           std::to_string(tick) + R"(,"epoch":0,"reclaimS":null,"pieces":[]})";
-  }
-
   rt::Task<> Apart() {
     bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
     EXPECT_TRUE(ok);
--- a/tests/pipeline_end_to_end_test.cc
+++ b/tests/pipeline_end_to_end_test.cc
@@ -24,10 +24,6 @@
     bool ok = co_await Until(node, "GET", "/submissions/" + id, "", 200, what, limit_s);
     EXPECT_TRUE(ok) << id << " " << what;
   }
-  rt::Task<> Pause(double s) {
-    rt::Sleep pause(scope_, s);
-    co_await pause;
-  }
   // Whoever starts must have all that it awaits recorded as done by then.
   void WatchStarts() {
     cloud_->WatchStarts([this](const wire::TaskId& task) {
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -99,11 +99,6 @@
     EXPECT_TRUE(r.ok());
   }
 
-  rt::Task<> Pause(double s) {
-    rt::Sleep pause(scope_, s);
-    co_await pause;
-  }
-
   rt::Task<bool> Within(double s, std::function<bool()> f) {
     const double end = loop_.Now() + s;
     while (!f() && loop_.Now() < end) co_await Pause(0.02);
@@ -187,12 +182,6 @@
     EXPECT_EQ(cloud_->started_twice(), 0);
   }
 
-  static std::string Report(uint64_t tick) {
-    return R"({"host":"vm-x","endpoint":"127.0.0.1:1","flavor":"odd","hall":"a","lendable":false,)"
-           R"("tenure":1,"tick":)" +
-           std::to_string(tick) + R"(,"epoch":0,"reclaimS":null,"pieces":[]})";
-  }
-
  protected:
   store::Client state_client_;
   bool changed_ = false;
