--- a/src/api/user_api.cc
+++ b/src/api/user_api.cc
@@ -54,6 +54,9 @@
     out.kind = Found::Kind::kActive;
     out.job = std::move(*job);
     out.stamp = active.value.stamp;
+    // What this node tells it must be able to hand over: a cancellation that was read here is told
+    // here, and the node that recorded it may be gone.
+    d_.replica->Apply(active.value.key, active.value.value, active.value.stamp);
     co_return out;
   }
   if (active.status != store::Status::kNotFound) co_return out;
@@ -317,9 +320,12 @@
     const std::string value = store::WriteCancelled(std::move(found.job), most);
     std::vector<wire::Guard> guards = {{key, found.stamp}};
     std::vector<wire::Write> writes = {{key, value, 0}};
+    ++withdrawing_;
     auto r = co_await d_.client->Txn(std::move(guards), std::move(writes), store::Urgent::kYes);
+    --withdrawing_;
     if (r.ok()) {
       d_.replica->Apply(key, value, r.value.revision);
+      d_.announce(id, r.value.revision);
       spdlog::info("job {} cancelled", id);
       co_return Answer(200, wire::WritePhase(id, wire::Phase::kCancelled));
     }
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -32,12 +32,16 @@
     std::function<double()> time_of_day;
     // True once the warm copy knows how all ended that a job needs; false if that takes too long.
     std::function<rt::Task<bool>(std::string id, double limit_s)> settled;
+    // Tells the other nodes of a cancellation that was just recorded under this stamp.
+    std::function<void(const std::string& id, uint64_t stamp)> announce;
   };
   explicit UserApi(Deps deps) : d_(std::move(deps)) {}
 
   rt::Task<wire::HttpResponse> Submit(std::string body);
   rt::Task<wire::HttpResponse> Poll(std::string id);
   rt::Task<wire::HttpResponse> Withdraw(std::string id);
+  // Cancellations that are being recorded just now.
+  int withdrawing() const { return withdrawing_; }
 
  private:
   struct Found {
@@ -72,6 +76,7 @@
   std::optional<wire::BadField> NeverRuns(const wire::JobSpec& spec) const;
 
   Deps d_;
+  int withdrawing_ = 0;
   std::unordered_map<std::string, store::FinalRecord> finals_;
   std::deque<std::string> finals_order_;
 };
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -40,6 +40,14 @@
   return o;
 }
 
+std::vector<std::string> OtherNodes(const config::Settings& s) {
+  std::vector<std::string> out;
+  for (const config::Seed& seed : s.seeds) {
+    if (seed.node != s.node) out.push_back(seed.node);
+  }
+  return out;
+}
+
 // Neither a crowd of users nor one of workers keeps the other, or the health checks, from a node.
 net::HttpServer::Limits ServerLimits(const config::Settings& s) {
   const auto workers = static_cast<size_t>(s.max_sockets * kWorkerSockets);
@@ -70,22 +78,75 @@
       finals_(root_, client_, replica_, ledger_, [this] { duties_.OnNews(); }),
       leadership_(root_, settings_, operators_, client_, replica_,
                   [this](rt::Scope& term) { duties_.Begin(term); }),
+      horizon_({settings_.cancel_s, settings_.lease_s, settings_.report_s}, OtherNodes(settings_)),
       duties_({&settings_, &operators_, &client_, &replica_, &formats_, &ledger_, &flavors_,
                &leadership_, TimeOfDay}),
       barrier_(root_, client_, replica_, kBarrierS),
       users_({&settings_, &client_, &replica_, &barrier_, &formats_, &ledger_, &flavors_, TimeOfDay,
               [this](std::string id, double limit_s) {
                 return finals_.Settled(std::move(id), limit_s);
+              },
+              [this](const std::string& id, uint64_t stamp) {
+                peers_.Announce({{id, stamp}});
               }}),
       server_(root_, ServerLimits(settings_),
               [this](wire::HttpRequest r) { return Handle(std::move(r)); }),
-      peers_(root_, settings_,
-             {[this] { return Status(); },
-              [this](wire::HttpRequest r) { return client_.Direct(std::move(r)); },
-              [this](const wire::PeerStatus& s) { leadership_.Superseded(s.token); },
-              [this](const std::string& node) { leadership_.Suspect(node); }}) {
+      peers_(root_, settings_, PeerHooks()) {
   client_.SetRelay([this](wire::HttpRequest r) { return peers_.Relay(std::move(r)); });
   leadership_.SetOutageConfirmed([this] { return peers_.AllConfirmOutage(); });
+  leadership_.SetMayRenew([this] { return MayRenew(); });
+}
+
+net::PeerMesh::Hooks Controller::PeerHooks() {
+  net::PeerMesh::Hooks h;
+  h.status = [this] { return Status(); };
+  h.execute = [this](wire::HttpRequest r) { return client_.Direct(std::move(r)); };
+  h.on_status = [this](const wire::PeerStatus& s) { leadership_.Superseded(s.token); };
+  h.on_refused = [this](const std::string& node) { leadership_.Suspect(node); };
+  h.vouches = [this](const std::string& node) { return formats_.Vouches(node); };
+  h.vouch_request = [this](const std::string& node) -> std::optional<wire::VouchRequest> {
+    horizon_.OnComplete(replica_.complete_at());
+    const bool apart = client_.down() || horizon_.Stale(root_.loop().Now());
+    if (!leadership_.leading() || !apart) return std::nullopt;
+    return horizon_.RequestFor(node, replica_.revision());
+  };
+  h.vouch = [this](const wire::VouchRequest& q) { return Vouch(q); };
+  h.on_vouch = [this](const std::string& node, double asked, const wire::Vouch& v) {
+    // Their tasks are told to stop before the word of this node counts.
+    for (const wire::Cancellation& c : v.cancelled) OnCancelled(c);
+    horizon_.OnVouch(node, asked, v);
+  };
+  h.on_cancelled = [this](const wire::CancelNotice& n) { OnCancelled(n.cancelled); };
+  return h;
+}
+
+wire::Vouch Controller::Vouch(const wire::VouchRequest& request) const {
+  wire::Vouch v;
+  v.revision = replica_.revision();
+  for (const std::string& id : ledger_.AllWithdrawn()) {
+    const uint64_t stamp = replica_.Stamp(store::JobKey(id));
+    if (stamp > request.beyond) v.cancelled.push_back({id, stamp});
+  }
+  // A process that was started anew and has read nothing since does not know what the one before
+  // told. Nor is it known yet what becomes of a cancellation that is under way; without an answer
+  // it is told to nobody, and whoever reads it later has it in its copy before it tells.
+  v.vouches = replica_.loaded() && users_.withdrawing() == 0 &&
+              v.cancelled.size() <= wire::kMaxCancellations;
+  if (!v.vouches) v.cancelled.clear();
+  return v;
+}
+
+void Controller::OnCancelled(const wire::Cancellation& cancelled) {
+  // A job that is not known here has no tasks of ours; its record will come as it is by then.
+  auto record = ledger_.Withdrawn(cancelled.job);
+  if (!record) return;
+  spdlog::info("job {} is cancelled, as another node says", cancelled.job);
+  replica_.Apply(store::JobKey(cancelled.job), store::WriteJob(*record), cancelled.stamp);
+}
+
+bool Controller::MayRenew() {
+  horizon_.OnComplete(replica_.complete_at());
+  return horizon_.MayRenew(root_.loop().Now());
 }
 
 wire::PeerStatus Controller::Status() const {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -8,6 +8,7 @@
 #include "app/awaited_finals.h"
 #include "app/duties.h"
 #include "config/settings.h"
+#include "lead/cancellation_horizon.h"
 #include "lead/leadership.h"
 #include "net/http_server.h"
 #include "net/peer_mesh.h"
@@ -32,6 +33,12 @@
   rt::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
   wire::HttpResponse Checkin(const std::string& body);
   wire::PeerStatus Status() const;
+  net::PeerMesh::Hooks PeerHooks();
+  // What this node hands over to a leader that the state service does not answer.
+  wire::Vouch Vouch(const wire::VouchRequest& request) const;
+  // A cancellation that was recorded by way of another node, ahead of the watch.
+  void OnCancelled(const wire::Cancellation& cancelled);
+  bool MayRenew();
   bool Ready() const;
   void OnState(const std::string& key, const std::string& value);
   rt::Task<> Drain(std::function<void()> done);
@@ -48,6 +55,7 @@
   store::Formats formats_;
   AwaitedFinals finals_;
   lead::Leadership leadership_;
+  lead::CancellationHorizon horizon_;
   Duties duties_;
   store::Barrier barrier_;
   api::UserApi users_;
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -350,6 +350,21 @@
   return false;
 }
 
+std::optional<store::JobRecord> Ledger::Withdrawn(const std::string& id) const {
+  const Job* job = Find(id);
+  if (job == nullptr || pipelines_.Withdrawn(id)) return std::nullopt;
+  return store::JobRecord{job->spec, job->submitted, true,
+                          job->common_layout ? 0 : job->groups.layout().whole};
+}
+
+std::vector<std::string> Ledger::AllWithdrawn() const {
+  std::vector<std::string> out;
+  for (const auto& [id, job] : jobs_) {
+    if (pipelines_.Withdrawn(id)) out.push_back(id);
+  }
+  return out;
+}
+
 std::vector<std::string> Ledger::Leftovers() const {
   std::vector<std::string> out;
   auto add = [&out](std::vector<std::string> keys) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -123,6 +123,11 @@
 
   // Writes a mutation into a copy of its shard. False if the records have moved on meanwhile.
   bool Change(const Job& job, const Mutation& m, store::Shard* shard) const;
+  // What a job's record says once the job is cancelled; nothing if it is unknown here, or is
+  // cancelled by its own record already.
+  std::optional<store::JobRecord> Withdrawn(const std::string& id) const;
+  // Unfinished jobs that their own records call cancelled.
+  std::vector<std::string> AllWithdrawn() const;
   // Keys that nothing needs any more: of jobs that are final already, where one transaction could
   // not drop all, and wholes that were carried over to parts.
   std::vector<std::string> Leftovers() const;
--- a/src/jobs/pipelines.cc
+++ b/src/jobs/pipelines.cc
@@ -10,6 +10,11 @@
   return it == nodes_.end() ? nullptr : &it->second.view;
 }
 
+bool Pipelines::Withdrawn(const std::string& id) const {
+  auto it = nodes_.find(id);
+  return it != nodes_.end() && it->second.withdrawn;
+}
+
 const store::FinalRecord* Pipelines::Final(const std::string& id) const {
   auto it = awaited_.find(id);
   return it == awaited_.end() || !it->second.known ? nullptr : &it->second.final_record;
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -33,6 +33,9 @@
   // answered on the strength of what was so before.
   const double verified = std::max(ttl(), ttl() / kRenewals + 2 * client_.timeout_s());
   if (!doubted_ && scope_.loop().Now() > last_renewed_ + verified) return false;
+  // Whoever leads: a lease that is renewed by one who may lack a cancellation keeps cancelled tasks
+  // alive (lead/cancellation_horizon.h).
+  if (may_renew_ && !may_renew_()) return false;
   if (scope_.loop().Now() < last_renewed_ + blind) return true;
   // Beyond that only while every other node says at this moment that nobody can have followed us. A
   // majority would not do: the node that is missing may be the one that leads.
--- a/src/lead/leadership.h
+++ b/src/lead/leadership.h
@@ -41,6 +41,8 @@
   void Suspect(const std::string& node);
   // Says whether all others confirm that the state service is out for everybody.
   void SetOutageConfirmed(std::function<bool()> f) { outage_confirmed_ = std::move(f); }
+  // Says whether workers' leases may be renewed without missing a cancellation that was told.
+  void SetMayRenew(std::function<bool()> f) { may_renew_ = std::move(f); }
   // The highest token known here.
   uint64_t highest() const;
   // Gives the lead to somebody else, and does not take it again for a while.
@@ -69,6 +71,7 @@
   double not_before_ = 0;
   uint64_t suspected_permit_ = 0;
   std::function<bool()> outage_confirmed_;
+  std::function<bool()> may_renew_;
   bool lost_ = false;
   bool doubted_ = false;  // a renewal has failed since the last that did not
   bool fencing_ = false;
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -82,6 +82,14 @@
   co_return pending->answer;
 }
 
+void PeerMesh::Announce(const wire::CancelNotice& notice) {
+  for (auto& p : peers_) {
+    if (!p->connected || !hooks_.vouches || !hooks_.vouches(p->seed.node)) continue;
+    p->outbox += wire::Frame(wire::WritePeerMessage(notice));
+    p->wake.Notify();
+  }
+}
+
 rt::Task<> PeerMesh::DialLoop(Peer* peer) {
   auto to = ParseAddress(peer->seed.endpoint);
   while (!scope_.cancelled()) {
@@ -95,6 +103,7 @@
       peer->connected = true;
       peer->outbox.clear();
       peer->asked.clear();
+      peer->vouch_asked.clear();
       scope_.Spawn(WriteLoop(peer, shared, open));
       co_await ReadLoop(peer, shared, open);
       peer->connected = false;
@@ -128,6 +137,11 @@
     if (now >= next_ping) {
       peer->outbox += wire::Frame(wire::WritePeerMessage(hooks_.status()));
       peer->asked.push_back(now);
+      const bool able = hooks_.vouches && hooks_.vouches(peer->seed.node);
+      if (auto q = able ? hooks_.vouch_request(peer->seed.node) : std::nullopt) {
+        peer->outbox += wire::Frame(wire::WritePeerMessage(*q));
+        peer->vouch_asked.push_back(now);
+      }
       next_ping = now + beat();
     }
     const std::string out = std::exchange(peer->outbox, {});
@@ -160,6 +174,12 @@
         peer->asked.pop_front();
         peer->status = *s;
         hooks_.on_status(*s);
+      } else if (auto* v = std::get_if<wire::Vouch>(&*m)) {
+        // Like a status, it counts from when it was asked for.
+        if (peer->vouch_asked.empty()) continue;
+        const double asked = peer->vouch_asked.front();
+        peer->vouch_asked.pop_front();
+        hooks_.on_vouch(peer->seed.node, asked, *v);
       } else if (auto* a = std::get_if<wire::RelayAnswer>(&*m)) {
         auto it = peer->pending.find(a->id);
         if (it == peer->pending.end()) continue;
@@ -198,6 +218,10 @@
       if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
         hooks_.on_status(*s);
         out += wire::Frame(wire::WritePeerMessage(hooks_.status()));
+      } else if (auto* v = std::get_if<wire::VouchRequest>(&*m)) {
+        out += wire::Frame(wire::WritePeerMessage(hooks_.vouch(*v)));
+      } else if (auto* n = std::get_if<wire::CancelNotice>(&*m)) {
+        hooks_.on_cancelled(*n);
       } else if (auto* q = std::get_if<wire::RelayRequest>(&*m)) {
         wire::RelayAnswer answer;
         answer.id = q->id;
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -27,6 +27,14 @@
     std::function<void(const wire::PeerStatus&)> on_status;
     // A link broke and the peer's machine refuses another: its process has most likely ended.
     std::function<void(const std::string& node)> on_refused;
+    // Whether a node understands vouches.
+    std::function<bool(const std::string& node)> vouches;
+    // What a node is to be asked for now; nothing: there is no need.
+    std::function<std::optional<wire::VouchRequest>(const std::string& node)> vouch_request;
+    std::function<wire::Vouch(const wire::VouchRequest&)> vouch;
+    // `asked`: when it was asked for.
+    std::function<void(const std::string& node, double asked, const wire::Vouch&)> on_vouch;
+    std::function<void(const wire::CancelNotice&)> on_cancelled;
   };
 
   PeerMesh(rt::Scope& scope, const config::Settings& settings, Hooks hooks);
@@ -37,6 +45,8 @@
   rt::Task<std::optional<wire::HttpResponse>> Relay(wire::HttpRequest request);
   // True if every other node says, just now, that it can't reach the state service either.
   bool AllConfirmOutage() const;
+  // Tells all nodes that understand it of a cancellation that was just recorded.
+  void Announce(const wire::CancelNotice& notice);
   // True if some other node says, just now, that the state service answers it.
   bool AnyReachesState() const;
 
@@ -53,7 +63,8 @@
     std::deque<double> asked;  // steady times of pings without an answer yet, oldest first
     double heard = -1;         // when the last status was asked for: it may be as old as that
     wire::PeerStatus status;
-    std::string outbox;  // frames to be written
+    std::deque<double> vouch_asked;  // steady times of vouch requests without an answer yet
+    std::string outbox;              // frames to be written
     rt::Event wake;
     std::map<uint64_t, std::shared_ptr<Pending>> pending;
   };
--- a/src/store/barrier.cc
+++ b/src/store/barrier.cc
@@ -19,7 +19,8 @@
 rt::Task<> Barrier::Run() {
   while (next_ && !scope_.cancelled()) {
     const std::shared_ptr<Batch> batch = std::exchange(next_, nullptr);
-    const double deadline = scope_.loop().Now() + limit_s_;
+    const double asked = scope_.loop().Now();
+    const double deadline = asked + limit_s_;
     auto revision = co_await client_.Revision(limit_s_);
     while (revision.ok() && replica_.revision() < revision.value) {
       const double left = deadline - scope_.loop().Now();
@@ -28,6 +29,7 @@
       co_await wait;
     }
     batch->reached = revision.ok() && replica_.revision() >= revision.value;
+    if (batch->reached) replica_.NoteComplete(asked);
     batch->event.Notify();
   }
   running_ = false;
--- a/src/store/formats.cc
+++ b/src/store/formats.cc
@@ -31,11 +31,7 @@
 }
 
 void Formats::OnMark(const std::string& node, const std::string& value) {
-  if (ReadMark(value) >= kFormat) {
-    marked_.insert(node);
-  } else {
-    marked_.erase(node);
-  }
+  marks_[node] = ReadMark(value);
   wake_.Notify();
 }
 
@@ -55,15 +51,21 @@
   wake_.Notify();
 }
 
+uint64_t Formats::MarkOf(const std::string& node) const {
+  auto it = marks_.find(node);
+  return it == marks_.end() ? 0 : it->second;
+}
+
 bool Formats::AllMarked() const {
-  return marked_.contains(settings_.node) &&
+  return MarkOf(settings_.node) >= kFormat &&
          std::all_of(settings_.seeds.begin(), settings_.seeds.end(),
-                     [&](const config::Seed& s) { return marked_.contains(s.node); });
+                     [&](const config::Seed& s) { return MarkOf(s.node) >= kFormat; });
 }
 
 rt::Task<bool> Formats::Record(std::string key, std::string value) {
-  // Whoever comes second finds it there: nothing is ever written over.
-  std::vector<wire::Guard> guards = {{key, 0}};
+  // Whoever comes second finds it there. Only a node's own mark of an older version is written
+  // over.
+  std::vector<wire::Guard> guards = {{key, replica_.Stamp(key)}};
   std::vector<wire::Write> writes = {{key, value, 0}};
   auto r = co_await client_.Txn(std::move(guards), std::move(writes), Urgent::kYes);
   if (r.ok()) replica_.Apply(key, value, r.value.revision);
@@ -74,16 +76,17 @@
   std::mt19937 random{std::random_device{}()};
   // Nodes that see the last mark at the same moment do not all try at once.
   std::uniform_real_distribution<double> pause(0.1 * settings_.report_s, 0.3 * settings_.report_s);
-  while (!scope_.cancelled() && !packed()) {
+  auto marked = [&] { return MarkOf(settings_.node) >= kVouchFormat; };
+  while (!scope_.cancelled() && !(packed() && marked())) {
     const bool known = replica_.loaded();
-    if (known && !marked_.contains(settings_.node)) {
+    auto due = [&] { return !packed() && (AllMarked() || changing()); };
+    if (known && !marked()) {
       co_await Record(MarkKey(settings_.node), WriteMark());
-    } else if (known && (AllMarked() || changing())) {
+    } else if (known && due()) {
       co_await Record(FormatKey(), WriteFormat({kFormat, CommonLayout(settings_)}));
     }
-    if (packed() || scope_.cancelled()) break;
-    const bool more = !known || !marked_.contains(settings_.node) || AllMarked() || changing();
-    if (more) {
+    if ((packed() && marked()) || scope_.cancelled()) break;
+    if (!known || !marked() || due()) {
       rt::Sleep rest(scope_, pause(random));
       co_await rest;
     } else {
--- a/src/store/formats.h
+++ b/src/store/formats.h
@@ -8,8 +8,8 @@
 // submission that awaits others, and a refusal that only the lowered limits explain.
 #pragma once
 
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "config/settings.h"
@@ -31,6 +31,9 @@
   // Something has shown that every node is new, whatever is recorded.
   void Prove(const std::string& why);
 
+  // True if a node's mark says that it understands vouches between nodes.
+  bool Vouches(const std::string& node) const { return MarkOf(node) >= kVouchFormat; }
+
   // True once the newer forms may be written.
   bool packed() const { return record_.has_value(); }
   // True while the change is proven and not recorded yet: what was refused in the old form would be
@@ -44,13 +47,15 @@
 
  private:
   bool AllMarked() const;
+  uint64_t MarkOf(const std::string& node) const;
+  // Writes a key that nobody has changed since this node last heard of it.
   rt::Task<bool> Record(std::string key, std::string value);
 
   rt::Scope& scope_;
   const config::Settings& settings_;
   Client& client_;
   Replica& replica_;
-  std::set<std::string> marked_;  // nodes that read this format
+  std::map<std::string, uint64_t> marks_;  // by node
   std::optional<FormatRecord> record_;
   std::string proof_;
   rt::Event wake_;
--- a/src/store/replica.cc
+++ b/src/store/replica.cc
@@ -54,6 +54,7 @@
   std::unordered_set<std::string> seen;
   std::string after;
   uint64_t first = 0;
+  const double asked = scope_.loop().Now();
   while (true) {
     auto page = co_await client_.List(std::string(kActive), after);
     if (!page.ok()) co_return false;
@@ -72,6 +73,7 @@
   }
   for (const auto& key : gone) Take(key, "", first);
   revision_ = first;
+  NoteComplete(asked);
   co_return true;
 }
 
@@ -90,10 +92,12 @@
         continue;
       }
     }
+    const double asked = scope_.loop().Now();
     auto news = co_await client_.Follow(std::string(kActive), revision_, block_s_);
     if (news.ok()) {
       for (const auto& c : news.value.changes) Take(c.key, c.value, c.stamp);
       revision_ = std::max(revision_, news.value.revision);
+      NoteComplete(asked);
       std::erase_if(dropped_, [&](const auto& d) { return d.second <= revision_; });
       if (!news.value.changes.empty()) changed_.Notify();
       rt::Sleep pause(scope_, kGapS);
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -4,7 +4,8 @@
 // of the same keys. Per key only what is newer than the known stamp counts, drops included.
 #pragma once
 
-#include <map>
+#include <algorithm>
+#include <limits>
 #include <string>
 #include <unordered_map>
 
@@ -26,6 +27,10 @@
   rt::Task<> Run();
   bool loaded() const { return loaded_; }
   uint64_t revision() const { return revision_; }
+  // Steady time as of which the copy is known to hold all that had been written.
+  double complete_at() const { return complete_at_; }
+  // Somebody read at `asked` that the service was no further than this copy is now.
+  void NoteComplete(double asked) { complete_at_ = std::max(complete_at_, asked); }
   uint64_t Stamp(const std::string& key) const;
   rt::Event& changed() { return changed_; }
 
@@ -44,6 +49,7 @@
   Sink sink_;
   bool loaded_ = false;
   uint64_t revision_ = 0;
+  double complete_at_ = -std::numeric_limits<double>::infinity();
   std::unordered_map<std::string, uint64_t> stamps_;
   // Keys dropped ahead of the watch, until it has passed that revision.
   std::unordered_map<std::string, uint64_t> dropped_;
--- a/src/store/schema.cc
+++ b/src/store/schema.cc
@@ -200,7 +200,7 @@
 std::string WriteMark() {
   wire::JsonWriter w;
   w.StartObject();
-  w.Field("format").Uint64(kFormat);
+  w.Field("format").Uint64(kVouchFormat);
   w.EndObject();
   return w.Take();
 }
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -5,7 +5,26 @@
 namespace hallpier::wire {
 namespace {
 
-enum Type : uint64_t { kStatus = 1, kRelayRequest = 2, kRelayAnswer = 3 };
+enum Type : uint64_t {
+  kStatus = 1,
+  kRelayRequest = 2,
+  kRelayAnswer = 3,
+  kVouchRequest = 4,
+  kVouch = 5,
+  kCancelNotice = 6,
+};
+
+void PutCancellation(std::string& out, const Cancellation& c) {
+  PutBytes(out, c.job);
+  PutVarint(out, c.stamp);
+}
+
+Cancellation ReadCancellation(VarintReader& r) {
+  Cancellation c;
+  c.job = r.Bytes();
+  c.stamp = r.Varint();
+  return c;
+}
 
 struct Writer {
   std::string out;
@@ -31,6 +50,21 @@
     PutVarint(out, static_cast<uint64_t>(a.response.status));
     PutBytes(out, a.response.body);
   }
+  void operator()(const VouchRequest& q) {
+    PutVarint(out, kVouchRequest);
+    PutVarint(out, q.beyond);
+  }
+  void operator()(const Vouch& v) {
+    PutVarint(out, kVouch);
+    PutVarint(out, v.vouches);
+    PutVarint(out, v.revision);
+    PutVarint(out, v.cancelled.size());
+    for (const Cancellation& c : v.cancelled) PutCancellation(out, c);
+  }
+  void operator()(const CancelNotice& n) {
+    PutVarint(out, kCancelNotice);
+    PutCancellation(out, n.cancelled);
+  }
 };
 
 }  // namespace
@@ -74,6 +108,22 @@
       out = std::move(a);
       break;
     }
+    case kVouchRequest:
+      out = VouchRequest{r.Varint()};
+      break;
+    case kVouch: {
+      Vouch v;
+      v.vouches = r.Varint() != 0;
+      v.revision = r.Varint();
+      const uint64_t count = r.Varint();
+      if (count > kMaxCancellations) return std::nullopt;
+      for (uint64_t i = 0; i < count && r.ok(); ++i) v.cancelled.push_back(ReadCancellation(r));
+      out = std::move(v);
+      break;
+    }
+    case kCancelNotice:
+      out = CancelNotice{ReadCancellation(r)};
+      break;
     default:
       return std::nullopt;
   }
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "wire/http.h"
 
@@ -32,12 +33,44 @@
   HttpResponse response;
 };
 
-using PeerMessage = std::variant<PeerStatus, RelayRequest, RelayAnswer>;
+// A job's record says that it is cancelled, since the revision `stamp`.
+struct Cancellation {
+  std::string job;
+  uint64_t stamp = 0;
+  bool operator==(const Cancellation&) const = default;
+};
+
+// What follows is understood by nodes whose mark says so (store::kVouchFormat), and sent to no
+// other.
+
+// A leader that the state service does not answer asks for what it may lack: every cancellation
+// beyond this revision.
+struct VouchRequest {
+  uint64_t beyond = 0;
+};
+
+// `vouches`: whatever cancellation this node may ever have told anybody is in `cancelled`, or no
+// newer than the revision asked for. `revision`: how far its own copy is complete.
+struct Vouch {
+  bool vouches = false;
+  uint64_t revision = 0;
+  std::vector<Cancellation> cancelled;
+};
+
+// Told without being asked, as soon as a cancellation is recorded.
+struct CancelNotice {
+  Cancellation cancelled;
+};
+
+using PeerMessage =
+    std::variant<PeerStatus, RelayRequest, RelayAnswer, VouchRequest, Vouch, CancelNotice>;
 
 // The payload of a frame.
 std::string WritePeerMessage(const PeerMessage& m);
 std::optional<PeerMessage> ReadPeerMessage(std::string_view payload);
 
 inline constexpr size_t kMaxPeerFrame = 256 * 1024;
+// Cancellations in one frame; job ids are short.
+inline constexpr size_t kMaxCancellations = 4096;
 
 }  // namespace hallpier::wire
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -17,7 +17,7 @@
 
 class EndToEnd : public testing::Test {
  protected:
-  EndToEnd() : scope_(loop_), client_(4, 1 << 20) {}
+  EndToEnd() : scope_(loop_), client_(4, 1 << 20), state_client_(scope_, StateOptions()) {}
 
   ~EndToEnd() override {
     // Everything ends in order; whatever kept a routine from that would hang here.
@@ -60,7 +60,7 @@
       if (j != i) s.seeds.push_back({"node-" + std::to_string(j), "a", At(2 * j + 1)});
     }
     s.size = count;
-    s.state = i == apart_ ? At(22) : At(20);
+    s.state = i == apart_ || i == refused_ ? At(22) : At(20);
     // The node that stands apart has no links to the others, nor they to it.
     if (i == apart_) {
       for (auto& seed : s.seeds) seed.endpoint = At(23);
@@ -72,6 +72,7 @@
     s.cloud = At(21);
     s.report_s = kReport;
     s.lease_s = 3;
+    if (cancel_s_) s.cancel_s = *cancel_s_;
     s.list_lag_s = 0.1;
     s.cloud_rps = 50;
     s.state_rps = state_rps_;
@@ -84,7 +85,7 @@
   void Start(int count) {
     StartServices(count);
     // The one that stands apart is alone at first, so that it leads.
-    StartNodes(0, apart_ >= 0 ? 1 : count, count);
+    StartNodes(0, apart_ >= 0 || refused_ >= 0 ? 1 : count, count);
   }
 
   void StartServices(int count) {
@@ -184,6 +185,28 @@
     co_return false;
   }
 
+  static store::Client::Options StateOptions() {
+    store::Client::Options o;
+    o.endpoint = "127.0.0.1:" + std::to_string(Base() + 20);
+    o.rps = o.write_rps = 10000;
+    o.max_body = 1 << 20;
+    return o;
+  }
+
+  // Writes to the state service as some other process would.
+  rt::Task<> WriteRecord(std::string key, std::string value) {
+    std::vector<wire::Guard> guards;
+    std::vector<wire::Write> writes = {{std::move(key), std::move(value), 0}};
+    auto r = co_await state_client_.Txn(std::move(guards), std::move(writes));
+    EXPECT_TRUE(r.ok());
+  }
+
+  rt::Task<bool> Within(double s, std::function<bool()> f) {
+    const double end = loop_.Now() + s;
+    while (!f() && loop_.Now() < end) co_await Pause(0.02);
+    co_return f();
+  }
+
   static int Base() {
     // Below the ports that the system hands out to connections, and of this process alone among
     // those that run at a time.
@@ -198,6 +221,7 @@
   std::set<size_t> ended_;
   std::map<int, size_t> newest_;  // process of a node: where in nodes_
   net::HttpClient client_;
+  store::Client state_client_;
   std::unique_ptr<standins::State> state_;
   std::unique_ptr<standins::Cloud> cloud_;
   std::vector<std::unique_ptr<app::Controller>> nodes_;
@@ -206,6 +230,8 @@
   double run_s_ = 0.3;
   std::optional<config::StateLimits> state_next_;
   int apart_ = -1;
+  int refused_ = -1;  // the node that Cut() takes the state service from, and nothing else
+  std::optional<double> cancel_s_;
 };
 
 }  // namespace hallpier::testing_support
--- /dev/null
+++ b/tests/gap_test.cc
@@ -0,0 +1,125 @@
+// The gap on whole nodes: the state service refuses the leader alone, another node confirms a
+// cancellation, and then the service is out for everybody, for longer than cancel_s.
+#include "end_to_end.h"
+
+namespace hallpier {
+namespace {
+
+using namespace testing_support;
+
+constexpr double kCancelS = 5;  // the workers' lease is 3 s
+
+class GapTest : public EndToEnd {
+ public:
+  GapTest() {
+    refused_ = 0;
+    cancel_s_ = kCancelS;
+    run_s_ = 60;
+  }
+
+  // Node 0 leads with two jobs at work; all nodes understand vouches.
+  rt::Task<> Prepare() {
+    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
+    EXPECT_TRUE(ok);
+    StartNodes(1, 3, 3);
+    for (const char* id : {"run-1", "run-2"}) {
+      ok = co_await Until(1, "POST", "/submissions", Body(Spec(id, 6)), 201, "", 10);
+      EXPECT_TRUE(ok);
+    }
+    ok = co_await Within(20, [&] {
+      bool all = cloud_->Running("run-1") == 6 && cloud_->Running("run-2") == 6;
+      for (int i = 0; i < 3; ++i) {
+        const std::string mark = state_->Value(store::MarkKey("node-" + std::to_string(i)));
+        all = all && store::ReadMark(mark) >= store::kVouchFormat;
+      }
+      return all;
+    });
+    EXPECT_TRUE(ok);
+    co_await Pause(3 * kReport);
+  }
+
+  // Recorded by a process that tells its user and ends before anybody hears of it.
+  rt::Task<> CancelledByAnother() {
+    store::JobRecord record;
+    record.spec = Spec("run-1", 6);
+    record.submitted = 1;
+    record.cancelled = true;
+    const std::string value = store::WriteJob(record);
+    co_await WriteRecord(store::JobKey("run-1"), value);
+    told_ = loop_.Now();
+  }
+
+  // Node 1 knows of it, and only its vouch can tell the leader.
+  rt::Task<> HandedOver() {
+    co_await Prepare();
+    state_->Cut(true);
+    co_await CancelledByAnother();
+    bool ok = co_await Until(1, "GET", "/submissions/run-1", "", 200, "cancelled", 2);
+    EXPECT_TRUE(ok);
+    state_->SetOutage(true);
+    ok = co_await Within(kCancelS, [&] { return cloud_->Running("run-1") == 0; });
+    EXPECT_TRUE(ok);
+    co_await Pause(told_ + kCancelS + 2 - loop_.Now());
+    EXPECT_EQ(cloud_->Running("run-1"), 0);
+    EXPECT_EQ(cloud_->Running("run-2"), 6) << "the outage costs nothing else";
+    EXPECT_EQ(cloud_->starts(), 12);
+    state_->SetOutage(false);
+    state_->Cut(false);
+    ok = co_await Until(0, "GET", "/submissions/run-1", "", 200, "cancelled", 10);
+    EXPECT_TRUE(ok);
+  }
+
+  // Whoever told it has ended; its node is back at once and sees the outage like all others, but
+  // does not know what it told before.
+  rt::Task<> Forgot() {
+    co_await Prepare();
+    state_->Cut(true);
+    for (int node : {1, 2}) co_await EndInOrder(node);
+    co_await CancelledByAnother();
+    state_->SetOutage(true);
+    StartNodes(1, 3, 3);
+    co_await Pause(told_ + kCancelS - loop_.Now());
+    EXPECT_EQ(cloud_->Running("run-1"), 0);
+    state_->SetOutage(false);
+    state_->Cut(false);
+    bool ok = co_await Until(1, "GET", "/submissions/run-1", "", 200, "cancelled", 10);
+    EXPECT_TRUE(ok);
+    ok = co_await Within(15, [&] { return cloud_->Running("run-2") == 6; });
+    EXPECT_TRUE(ok) << "the other job goes on afterwards";
+    EXPECT_EQ(cloud_->Running("run-1"), 0);
+  }
+
+  // Nothing at all is cancelled: the outage is carried through.
+  rt::Task<> Ordinary() {
+    co_await Prepare();
+    state_->SetOutage(true);
+    co_await Pause(kCancelS + 2);
+    EXPECT_EQ(cloud_->Running("run-1"), 6);
+    EXPECT_EQ(cloud_->Running("run-2"), 6);
+    EXPECT_EQ(cloud_->starts(), 12);
+    state_->SetOutage(false);
+  }
+
+ private:
+  double told_ = 0;
+};
+
+TEST_F(GapTest, WhatAnotherNodeToldReachesTheOldLeader) {
+  Start(3);
+  Run(HandedOver());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
+TEST_F(GapTest, ALeaderThatNobodyVouchesForFallsSilentInTime) {
+  Start(3);
+  Run(Forgot());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
+TEST_F(GapTest, AnOutageWithoutCancellationsCarriesTasksThrough) {
+  Start(3);
+  Run(Ordinary());
+}
+
+}  // namespace
+}  // namespace hallpier
--- /dev/null
+++ b/tests/horizon_test.cc
@@ -0,0 +1,204 @@
+// The gap: the state service refuses the leader alone, another node confirms cancellations, then
+// the service is out for everybody. Scripted peers and one worker, by a fake clock.
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "fixtures.h"
+#include "lead/cancellation_horizon.h"
+
+namespace hallpier::lead {
+namespace {
+
+using namespace testing_support;
+
+constexpr double kCancel = 70, kLease = 45, kReport = 10;
+
+// A peer as the leader sees it: what it vouches for and hands over at a moment, if it answers.
+using Peer = std::function<std::optional<wire::Vouch>(double now, uint64_t beyond)>;
+
+wire::Vouch Nothing() { return {true, 100, {}}; }
+
+class GapDay : public testing::Test {
+ protected:
+  static constexpr double kRefused = 0;  // from here on the leader's own copy is of no use
+  static constexpr double kTold = 2;     // when a user hears "cancelled" from node-1
+  static constexpr double kDown = 3;     // from here on the service answers nobody
+  static constexpr uint64_t kToken = 7;
+
+  GapDay()
+      : horizon_({kCancel, kLease, kReport}, {"node-1", "node-2"}),
+        roster_({kReport, kLease, 3, 3}) {
+    PutJob(ledger_, Spec("run-1", 2));
+    PutJob(ledger_, Spec("run-2", 1));
+    Place(ledger_, "run-1", 0, 1, "vm-1");
+    Place(ledger_, "run-2", 0, 1, "vm-1");
+    roster_.BeginTerm(kToken, -100, -100);
+    on_machine_ = {{"run-1", true}, {"run-2", true}};
+    horizon_.OnComplete(kRefused);
+  }
+
+  // What node-1 says once it has confirmed the cancellation of run-1.
+  static wire::Vouch HandsOver(double now, uint64_t beyond) {
+    wire::Vouch v{true, now < kTold ? 100u : 105u, {}};
+    if (now >= kTold && beyond < 105) v.cancelled = {{"run-1", 105}};
+    return v;
+  }
+
+  void AskPeers(double now) {
+    for (auto& [node, peer] : peers_) {
+      const wire::VouchRequest q = horizon_.RequestFor(node, 100);
+      const auto vouch = peer(now, q.beyond);
+      if (!vouch) continue;
+      for (const wire::Cancellation& c : vouch->cancelled) {
+        auto record = ledger_.Withdrawn(c.job);
+        if (record) ledger_.Apply(store::ParseKey(store::JobKey(c.job)), store::WriteJob(*record));
+      }
+      horizon_.OnVouch(node, now, *vouch);
+    }
+  }
+
+  // Plays until `end`; the machine hangs from `hangs` until `back`. Returns when run-1's task had
+  // gone, and leaves in on_machine_ what is still there.
+  double Play(double end, double hangs = 1e9, double back = 1e9) {
+    double renewed = kRefused, gone_at = -1;
+    uint64_t tick = 0, tenure = 1;
+    double next = 1;
+    for (double now = kRefused; now < end; now += 0.5) {
+      AskPeers(now);
+      if (now >= hangs && now < back) continue;
+      if (now > renewed + kLease) {  // the worker kills and forgets everything
+        on_machine_ = {{"run-1", false}, {"run-2", false}};
+        ++tenure;
+        renewed = now;
+      }
+      if (now >= next && horizon_.MayRenew(now)) {
+        next = now + kReport;
+        renewed = now;
+        wire::Report r = ReportOf("vm-1", tenure, ++tick, kToken);
+        for (const auto& [job, there] : on_machine_) {
+          if (there) r.pieces.push_back(PieceOf(job, 0, 1, wire::PieceState::kRunning));
+        }
+        roster_.OnReport(r, now, false);
+        for (const wire::Order& o : roster_.Orders(*roster_.Find("vm-1"), ledger_, false)) {
+          if (o.verb == wire::Verb::kStop) on_machine_[o.task.job] = false;
+          if (o.verb == wire::Verb::kRun) on_machine_[o.task.job] = true;
+        }
+      }
+      if (!on_machine_["run-1"] && gone_at < 0) gone_at = now;
+    }
+    return gone_at;
+  }
+
+  jobs::Ledger ledger_{100};
+  CancellationHorizon horizon_;
+  fleet::Roster roster_;
+  std::map<std::string, Peer> peers_ = {{"node-1", HandsOver},
+                                        {"node-2", [](double, uint64_t) { return Nothing(); }}};
+  std::map<std::string, bool> on_machine_;
+};
+
+TEST_F(GapDay, WhoVouchesHandsOverWhatItTold) {
+  const double gone = Play(120);
+  EXPECT_GT(gone, kTold);
+  EXPECT_LT(gone, kTold + 2 * kReport) << "the next report fetches the order to stop";
+  EXPECT_TRUE(on_machine_["run-2"]) << "all others go on through the whole outage";
+}
+
+TEST_F(GapDay, TheConfirmingNodeEndsRightAfterItsAnswer) {
+  // Started anew it has read nothing and can't vouch, however often it is asked.
+  peers_["node-1"] = [](double now, uint64_t beyond) -> std::optional<wire::Vouch> {
+    if (now < kTold) return HandsOver(now, beyond);
+    return wire::Vouch{false, 0, {}};
+  };
+  const double gone = Play(120);
+  EXPECT_GT(gone, kTold);
+  EXPECT_LE(gone, kTold + kCancel);
+}
+
+TEST_F(GapDay, TheConfirmingNodeIsCutOffRightAfterItsAnswer) {
+  peers_["node-1"] = [](double now, uint64_t beyond) -> std::optional<wire::Vouch> {
+    if (now < kTold) return HandsOver(now, beyond);
+    return std::nullopt;
+  };
+  const double gone = Play(120);
+  EXPECT_GT(gone, kTold);
+  EXPECT_LE(gone, kTold + kCancel);
+}
+
+TEST_F(GapDay, AMessageIsLost) {
+  // What is lost is asked for again, with the same lower end.
+  peers_["node-1"] = [](double now, uint64_t beyond) -> std::optional<wire::Vouch> {
+    if (now < 15) return std::nullopt;
+    EXPECT_TRUE(now > 15 || beyond == 100) << beyond;
+    return HandsOver(now, beyond);
+  };
+  const double gone = Play(120);
+  EXPECT_GT(gone, 15);
+  EXPECT_LE(gone, 15 + kReport + 1);
+  EXPECT_TRUE(on_machine_["run-2"]);
+}
+
+TEST_F(GapDay, ACancelledPipelineStartsNothing) {
+  auto spec = Spec("run-3", 1);
+  spec.awaits = {"run-1"};
+  PutJob(ledger_, spec);
+  Play(20);
+  EXPECT_TRUE(ledger_.Find("run-3")->cancelled) << "what awaits it goes with it";
+  jobs::Mutation m;
+  m.task = {"run-3", 0};
+  m.attempt = 1;
+  m.machine = "vm-1";
+  store::Shard shard;
+  EXPECT_FALSE(ledger_.Change(*ledger_.Find("run-3"), m, &shard));
+}
+
+TEST_F(GapDay, AHungMachineComesBack) {
+  // Within its lease it goes on with its tasks; the answer to its first report stops the cancelled
+  // one.
+  const double gone = Play(120, 2.5, 40);
+  EXPECT_GE(gone, 40);
+  EXPECT_LE(gone, 41);
+  EXPECT_TRUE(on_machine_["run-2"]);
+}
+
+TEST_F(GapDay, AnOutageWithoutCancellationsCostsNothing) {
+  peers_["node-1"] = [](double, uint64_t) { return Nothing(); };
+  Play(300);
+  EXPECT_TRUE(on_machine_["run-1"]);
+  EXPECT_TRUE(on_machine_["run-2"]);
+}
+
+TEST_F(GapDay, AnOlderVersionDoesNotVouch) {
+  peers_["node-2"] = [](double, uint64_t) { return std::nullopt; };
+  const double gone = Play(120);
+  EXPECT_TRUE(gone > 0);
+  EXPECT_FALSE(on_machine_["run-2"]) << "the leader fell silent in time, and all leases ran out";
+  EXPECT_FALSE(horizon_.MayRenew(kRefused + kCancel - kLease));
+  EXPECT_TRUE(horizon_.MayRenew(kRefused + 0.4 * kLease)) << "not sooner than needed";
+}
+
+TEST(CancellationHorizon, IsTheOwnCopyOrWhatAllOthersVouchFor) {
+  CancellationHorizon h({kCancel, kLease, kReport}, {"node-1", "node-2"});
+  EXPECT_FALSE(h.MayRenew(0)) << "nothing is known yet";
+  h.OnComplete(10);
+  EXPECT_EQ(h.KnownAt(12), 10);
+  EXPECT_FALSE(h.Stale(24));
+  EXPECT_TRUE(h.Stale(26));
+  h.OnVouch("node-1", 20, Nothing());
+  EXPECT_EQ(h.KnownAt(21), 10) << "one is missing";
+  h.OnVouch("node-2", 18, Nothing());
+  EXPECT_EQ(h.KnownAt(21), 18) << "the oldest counts";
+  h.OnVouch("node-2", 25, {false, 500, {}});
+  EXPECT_EQ(h.KnownAt(26), 18) << "who does not vouch has said nothing";
+  EXPECT_EQ(h.RequestFor("node-2", 90).beyond, 100u);
+  EXPECT_EQ(h.RequestFor("node-2", 120).beyond, 120u);
+  // The last answer and a whole lease after it end before cancel_s is over.
+  EXPECT_LT(h.bound() + kLease, kCancel);
+  EXPECT_GT(h.bound() + kLease, kCancel - kReport / 2);
+  CancellationHorizon alone({kCancel, kLease, kReport}, {});
+  EXPECT_TRUE(alone.MayRenew(1000)) << "nobody else tells anything";
+}
+
+}  // namespace
+}  // namespace hallpier::lead
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -213,12 +213,11 @@
     s.report_s = 4;  // a beat of 0.5 s
     s.peer_bind = At(2);
     s.seeds = {{"node-1", "a", At(1)}};
-    net::PeerMesh mesh(scope_, s,
-                       {[] { return wire::PeerStatus(); },
-                        [](wire::HttpRequest) -> rt::Task<std::optional<wire::HttpResponse>> {
-                          co_return std::nullopt;
-                        },
-                        [](const wire::PeerStatus&) {}, [](const std::string&) {}});
+    net::PeerMesh::Hooks hooks;
+    hooks.status = [] { return wire::PeerStatus(); };
+    hooks.on_status = [](const wire::PeerStatus&) {};
+    hooks.on_refused = [](const std::string&) {};
+    net::PeerMesh mesh(scope_, s, hooks);
     EXPECT_TRUE(mesh.Start(&error)) << error;
     scope_.Spawn(AnswerPings(std::move(*listener)));
     co_await Pause(0.7);
@@ -240,6 +239,64 @@
 
 TEST_F(OldWord, OfAPeerIsNoWordOfNow) { Run(Script()); }
 
+// Two nodes: what is new between them is sent to who understands it, and to no other.
+class Vouching : public NetTest {
+ public:
+  static constexpr double kBeat = 0.1;
+  std::unique_ptr<net::PeerMesh> Mesh(int node, config::Settings& s) {
+    s = SettingsOf();
+    s.node = "node-" + std::to_string(node);
+    s.report_s = 8 * kBeat;
+    s.peer_bind = At(1 + node);
+    s.seeds = {{"node-" + std::to_string(1 - node), "a", At(2 - node)}};
+    net::PeerMesh::Hooks hooks;
+    hooks.status = [] { return wire::PeerStatus(); };
+    hooks.on_status = [](const wire::PeerStatus&) {};
+    hooks.on_refused = [](const std::string&) {};
+    hooks.vouches = [this](const std::string&) { return understood_; };
+    hooks.vouch_request = [node](const std::string&) -> std::optional<wire::VouchRequest> {
+      if (node == 0) return wire::VouchRequest{40};
+      return std::nullopt;
+    };
+    hooks.vouch = [](const wire::VouchRequest& q) {
+      return wire::Vouch{true, 50, {{"run-1", q.beyond + 1}}};
+    };
+    hooks.on_vouch = [this](const std::string& from, double asked, const wire::Vouch& v) {
+      EXPECT_EQ(from, "node-1");
+      EXPECT_LE(asked, loop_.Now());
+      EXPECT_EQ(v.cancelled, (std::vector<wire::Cancellation>{{"run-1", 41}}));
+      ++vouches_;
+    };
+    hooks.on_cancelled = [this](const wire::CancelNotice& n) { told_.push_back(n.cancelled.job); };
+    return std::make_unique<net::PeerMesh>(scope_, s, hooks);
+  }
+  rt::Task<> Script() {
+    std::string error;
+    config::Settings s0, s1;
+    auto leader = Mesh(0, s0), other = Mesh(1, s1);
+    EXPECT_TRUE(leader->Start(&error)) << error;
+    EXPECT_TRUE(other->Start(&error)) << error;
+    co_await Pause(6 * kBeat);
+    other->Announce({{"run-2", 7}});
+    co_await Pause(3 * kBeat);
+    EXPECT_EQ(vouches_, 0) << "an older version would break the link";
+    EXPECT_EQ(told_, std::vector<std::string>());
+    EXPECT_TRUE(leader->AllConfirmOutage()) << "while all else goes on";
+    understood_ = true;
+    other->Announce({{"run-3", 8}});
+    co_await Pause(3 * kBeat);
+    EXPECT_GT(vouches_, 0);
+    EXPECT_EQ(told_, std::vector<std::string>{"run-3"});
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+  bool understood_ = false;
+  int vouches_ = 0;
+  std::vector<std::string> told_;
+};
+
+TEST_F(Vouching, IsAskedOfThoseWhoUnderstandIt) { Run(Script()); }
+
 // A leader that stood still for longer than its lease must not answer a worker before it knows that
 // nobody has led since.
 class StoodStill : public NetTest {
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -76,6 +76,22 @@
   for (size_t n = 0; n < payload.size(); ++n) {
     EXPECT_FALSE(ReadPeerMessage(std::string_view(payload).substr(0, n))) << n;
   }
+  const std::string vouch = WritePeerMessage(Vouch{true, 431, {{"run-1", 430}, {"run-2", 77}}});
+  back = ReadPeerMessage(vouch);
+  ASSERT_TRUE(back);
+  EXPECT_TRUE(std::get<Vouch>(*back).vouches);
+  EXPECT_EQ(std::get<Vouch>(*back).revision, 431u);
+  EXPECT_EQ(std::get<Vouch>(*back).cancelled,
+            (std::vector<Cancellation>{{"run-1", 430}, {"run-2", 77}}));
+  for (size_t n = 0; n < vouch.size(); ++n) {
+    EXPECT_FALSE(ReadPeerMessage(std::string_view(vouch).substr(0, n))) << n;
+  }
+  back = ReadPeerMessage(WritePeerMessage(VouchRequest{431}));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(std::get<VouchRequest>(*back).beyond, 431u);
+  back = ReadPeerMessage(WritePeerMessage(CancelNotice{{"run-1", 430}}));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(std::get<CancelNotice>(*back).cancelled, (Cancellation{"run-1", 430}));
   EXPECT_FALSE(ReadPeerMessage(payload + "x")) << "something behind the message";
   EXPECT_FALSE(ReadPeerMessage("\x63")) << "an unknown type";
 }
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -268,6 +268,11 @@
     auto it = pieces_.find(task);
     return it != pieces_.end() && it->second.state == "running";
   }
+  int CountOf(const std::string& job) const {
+    return static_cast<int>(std::count_if(pieces_.begin(), pieces_.end(), [&](const auto& p) {
+      return p.first.job == job && p.second.state == "running";
+    }));
+  }
 
  private:
   struct Running {
@@ -403,6 +408,12 @@
 
 Cloud::~Cloud() = default;
 
+int Cloud::Running(const std::string& job) const {
+  int n = 0;
+  for (const auto& [name, m] : machines_) n += m->CountOf(job);
+  return n;
+}
+
 void Cloud::OnStart(const Worker* where, const wire::TaskId& task) {
   if (on_start_) on_start_(task);
   ++starts_;
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -103,6 +103,8 @@
   // Starts of tasks so far, and those of a task that was on another machine at the time.
   int starts() const { return starts_; }
   int started_twice() const { return started_twice_; }
+  // Tasks of a job that run now, wherever.
+  int Running(const std::string& job) const;
   // Told of every start of a task.
   void WatchStarts(std::function<void(const wire::TaskId&)> f) { on_start_ = std::move(f); }
 
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -55,16 +55,6 @@
 
 class UpgradeTest : public EndToEnd {
  public:
-  UpgradeTest() : state_client_(scope_, StateOptions()) {}
-
-  static store::Client::Options StateOptions() {
-    store::Client::Options o;
-    o.endpoint = "127.0.0.1:" + std::to_string(Base() + 20);
-    o.rps = o.write_rps = 10000;
-    o.max_body = 1 << 20;
-    return o;
-  }
-
   // Everything that is written is looked at, until the formats may change.
   void WatchWrites() {
     state_->Watch([this](const std::string& key, const std::string& value) {
@@ -92,19 +82,6 @@
     co_return r.ok() ? permit.value : 0;
   }
 
-  rt::Task<> OldWrites(std::string key, std::string value) {
-    std::vector<wire::Guard> guards;
-    std::vector<wire::Write> writes = {{std::move(key), std::move(value), 0}};
-    auto r = co_await state_client_.Txn(std::move(guards), std::move(writes));
-    EXPECT_TRUE(r.ok());
-  }
-
-  rt::Task<bool> Within(double s, std::function<bool()> f) {
-    const double end = loop_.Now() + s;
-    while (!f() && loop_.Now() < end) co_await Pause(0.02);
-    co_return f();
-  }
-
   static std::string OldJob(const std::string& id, int tasks) {
     return R"({"spec":{"id":")" + id +
            R"(","lane":"lane","tenant":"team","shape":"array","urgency":"normal","pieces":)" +
@@ -119,9 +96,9 @@
   rt::Task<> SideBySide() {
     uint64_t permit = co_await OldNodeLeads("node-1");
     EXPECT_NE(permit, 0u);
-    co_await OldWrites(store::JobKey("run-1"), OldJob("run-1", 400));
-    co_await OldWrites(store::ShardKey("run-1", 0),
-                       R"({"done":[0,299],"on":{"":[300,-2]},"runs":{"c4":[300,90.0]}})");
+    co_await WriteRecord(store::JobKey("run-1"), OldJob("run-1", 400));
+    co_await WriteRecord(store::ShardKey("run-1", 0),
+                         R"({"done":[0,299],"on":{"":[300,-2]},"runs":{"c4":[300,90.0]}})");
     StartNodes(0, 1, 3);
     bool ok = co_await Until(0, "GET", "/submissions/run-1", "", 200, "pending", 5);
     EXPECT_TRUE(ok);
@@ -146,9 +123,9 @@
     EXPECT_TRUE(ok);
     permit = co_await OldNodeLeads("node-2");
     EXPECT_NE(permit, 0u);
-    co_await OldWrites(store::JobKey("run-4"), OldJob("run-4", 340));
-    co_await OldWrites(store::ShardKey("run-4", 1),
-                       R"({"done":[],"on":{"vm-999999":[335,336,-4]},"runs":{}})");
+    co_await WriteRecord(store::JobKey("run-4"), OldJob("run-4", 340));
+    co_await WriteRecord(store::ShardKey("run-4", 1),
+                         R"({"done":[],"on":{"vm-999999":[335,336,-4]},"runs":{}})");
     StartNodes(0, 1, 3);
     ended = co_await state_client_.End(permit);
     EXPECT_TRUE(ended.ok());
@@ -183,7 +160,6 @@
   }
 
  protected:
-  store::Client state_client_;
   bool changed_ = false;
   std::vector<std::string> too_early_;
   int packed_ = 0;
@@ -216,7 +192,7 @@
     record.spec = listed;
     record.submitted = 1764633600;
     EXPECT_GT(store::WriteJob(record).size(), 2048u);
-    co_await OldWrites(store::JobKey("run-2"), store::WriteJob(record));
+    co_await WriteRecord(store::JobKey("run-2"), store::WriteJob(record));
     state_->SetLimits({2048, 4, 300});
     const int before = state_->refused();
     ok = co_await Until(0, "POST", "/submissions/run-2/withdraw", "", 200, "cancelled", 5);
