--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -214,6 +214,10 @@
       ledger_.Apply(parsed, value);
       break;
     case store::KeyKind::kBlock:
+      // A node without peers has nobody else to hear it from: a new token of its own that got no
+      // answer and was carried out late makes every commit fail.
+      leadership_.Superseded(replica_.Stamp(key));
+      break;
     case store::KeyKind::kFinal:
     case store::KeyKind::kOther:
       break;
--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -54,6 +54,7 @@
   urgent_came_ = false;
   alone_.clear();
   refused_.clear();
+  unsettled_.clear();
   work_waits_ = true;  // what the former leader left undone
   term.Spawn(RoundLoop(term));
   term.Spawn(cloud_.Run(term));
@@ -126,6 +127,11 @@
     bool fenced = co_await d_.leadership->Fence();
     if (fenced) roster_.SetToken(d_.leadership->token());
   }
+  bool settled = co_await Settle(term);
+  if (!settled) {
+    work_waits_ = true;
+    co_return;
+  }
   const double begin = term.loop().Now();
   urgent_came_ = false;
   roster_.Learn(*d_.ledger, begin);
@@ -219,37 +225,65 @@
     }
     if (Refused(t.writes)) continue;
     if (waits) unhurried_at_ = now;
-    const auto writes = t.writes;
-    // Taken now: the watch may bring the end before the answer does.
-    std::vector<std::string> ends;
-    for (const wire::Write& w : writes) DescribeEnd(w, &ends);
-    const auto urgent = t.rank <= jobs::Rank::kEnd ? store::Urgent::kYes : store::Urgent::kNo;
-    auto r = co_await d_.client->Txn(std::move(t.guards), std::move(t.writes), urgent, left);
+    const Written written = co_await Write(term, t, left);
     if (term.cancelled()) co_return;
-    if (!r.ok()) {
-      // Lost or late: the watch tells what became of it, and the next round starts from there.
-      spdlog::info("commit of {} writes failed ({}{})", writes.size(), static_cast<int>(r.status),
-                   r.value.failed.empty() ? "" : ", overtaken: " + r.value.failed.front());
-      work_waits_ = true;
-      if (r.status == store::Status::kInvalid) {
-        // It holds up nothing that comes behind it.
-        OnTooLarge(writes);
-        continue;
-      }
-      // The watch brings most of it by itself. Were the copy wrong for good, the same write would
-      // fail in every round, and all that comes behind it with it.
-      for (const std::string& key : r.value.failed) {
-        if (key != limits.block_key) co_await d_.replica->Refresh(key);
-        if (term.cancelled()) co_return;
-      }
-      co_return;
-    }
+    if (written == Written::kNoAnswer && !t.machines.empty()) unsettled_.push_back(std::move(t));
+    // What was refused for what it holds holds up nothing that comes behind it.
+    if (written != Written::kYes && written != Written::kNever) co_return;
+  }
+}
+
+rt::Task<Duties::Written> Duties::Write(rt::Scope& term, const jobs::Txn& txn, double patience_s) {
+  // Taken now: the watch may bring the end before the answer does.
+  std::vector<std::string> ends;
+  for (const wire::Write& w : txn.writes) DescribeEnd(w, &ends);
+  const auto urgent = txn.rank <= jobs::Rank::kEnd ? store::Urgent::kYes : store::Urgent::kNo;
+  auto r = co_await d_.client->Txn(txn.guards, txn.writes, urgent, patience_s);
+  if (term.cancelled()) co_return Written::kNoAnswer;
+  const std::set<std::string> machines(txn.machines.begin(), txn.machines.end());
+  if (r.ok()) {
     for (const auto& line : ends) spdlog::info("{}", line);
-    NoteFinals(writes);
-    for (const wire::Write& w : writes) d_.replica->Apply(w.key, w.value, r.value.revision);
-    std::set<std::string> machines(t.machines.begin(), t.machines.end());
+    NoteFinals(txn.writes);
+    for (const wire::Write& w : txn.writes) d_.replica->Apply(w.key, w.value, r.value.revision);
     for (const auto& m : machines) Tell(term, m);
+    co_return Written::kYes;
+  }
+  spdlog::info("commit of {} writes failed ({}{})", txn.writes.size(), static_cast<int>(r.status),
+               r.value.failed.empty() ? "" : ", overtaken: " + r.value.failed.front());
+  work_waits_ = true;
+  switch (r.status) {
+    case store::Status::kInvalid:
+      OnTooLarge(txn.writes);
+      co_return Written::kNever;
+    case store::Status::kRefused:
+      co_return Written::kNotNow;
+    case store::Status::kConflict:
+      break;
+    default:
+      co_return Written::kNoAnswer;
+  }
+  // The watch brings most of it by itself. Were the copy wrong for good, the same write would
+  // fail in every round, and all that comes behind it with it.
+  bool known = true;
+  for (const std::string& key : r.value.failed) {
+    if (key == store::BlockKey(0)) continue;
+    bool read = co_await d_.replica->Refresh(key);
+    if (term.cancelled()) co_return Written::kNoAnswer;
+    known = known && read;
+  }
+  // Overtaken by its own first copy, perhaps: then there is something to start.
+  for (const auto& m : machines) Tell(term, m);
+  co_return known ? Written::kOvertaken : Written::kNotNow;
+}
+
+rt::Task<bool> Duties::Settle(rt::Scope& term) {
+  while (!unsettled_.empty()) {
+    const Written written = co_await Write(term, unsettled_.front(), d_.operators->round_s);
+    if (term.cancelled()) co_return false;
+    if (written == Written::kNotNow || written == Written::kNoAnswer) co_return false;
+    unsettled_.pop_front();
   }
+  co_return true;
 }
 
 void Duties::NoteFinals(const std::vector<wire::Write>& writes) {
--- a/src/app/duties.h
+++ b/src/app/duties.h
@@ -36,6 +36,17 @@
   rt::Task<> Round(rt::Scope& term);
   // What does not get written is decided anew: the records say what comes next.
   rt::Task<> Commit(rt::Scope& term, std::vector<jobs::Mutation> mutations);
+  enum class Written {
+    kYes,
+    kNever,      // refused for what it holds
+    kOvertaken,  // a guard did not hold, and the copy knows why
+    kNotNow,     // not carried out, or overtaken by what could not be read
+    kNoAnswer,   // carried out, or not, or to be carried out later
+  };
+  // Sends one transaction and takes in what came of it.
+  rt::Task<Written> Write(rt::Scope& term, const jobs::Txn& txn, double patience_s);
+  // Sends again what got no answer; false if it still has none.
+  rt::Task<bool> Settle(rt::Scope& term);
   // A transaction was refused as malformed: something in it is too large, in all likelihood. What
   // was together goes alone from now on, and what was alone is not sent again unchanged.
   void OnTooLarge(const std::vector<wire::Write>& writes);
@@ -61,6 +72,10 @@
   std::set<std::string> alone_;  // keys that go alone, since they were refused with others
   // By first key, what was refused alone: its keys and the sizes of their values.
   std::map<std::string, std::vector<std::pair<std::string, size_t>>> refused_;
+  // Placements that got no answer and may be carried out at any time yet: until that is settled, no
+  // quota and no zone can be reckoned with. Sent again, they either count or can never count, since
+  // both copies have the same guards.
+  std::deque<jobs::Txn> unsettled_;
   double unhurried_at_ = 0;             // when the last transaction was sent that nobody waits for
   bool urgent_came_ = false;            // prod or urgent work that no round has seen yet
   std::set<std::string> told_;          // machines with a direct command under way
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -32,7 +32,7 @@
 }  // namespace
 
 void Roster::BeginTerm(uint64_t token, double now, double others_until) {
-  token_ = token;
+  token_ = term_token_ = token;
   term_start_ = now;
   others_until_ = others_until;
   gone_.clear();
@@ -145,8 +145,12 @@
   m.last_report = now;
   if (!direct) {
     m.checkin_tick = r.tick;
+    m.last_checkin = now;
   } else if (moved_on) {
     m.checkin_tick = 0;
+    // The new session has a lease of its own, which nobody has renewed: it began by now. What is
+    // started in it by direct command may live as long.
+    m.last_answer = std::max(m.last_answer, now);
   }
   const bool had_notice = m.noticed();
   m.reclaim_at = r.reclaim_s ? now + *r.reclaim_s : std::numeric_limits<double>::infinity();
@@ -444,7 +448,7 @@
   // has not found us yet may be with the former leader, for as long as that one may answer.
   if (m.booting) return 0;
   const double since = m.reported() ? term_start_ : std::max(term_start_, others_until_);
-  return (now - std::max({m.last_report, since, m.up_seen})) / options_.report_s;
+  return (now - std::max({m.last_checkin, since, m.up_seen})) / options_.report_s;
 }
 
 bool Roster::Silent(const Machine& m, double now) const {
@@ -452,9 +456,11 @@
 }
 
 bool Roster::Usable(const Machine& m, double now) const {
+  // Only its own reports renew its lease: one that answers direct commands and reaches nobody loses
+  // all it has.
   return m.reported() && !m.returning && !Slow(m) && m.token <= token_ && m.unheeded < 2 &&
          m.reclaim_at == std::numeric_limits<double>::infinity() &&
-         now - m.last_report < 1.8 * options_.report_s;
+         now - m.last_checkin < 1.8 * options_.report_s;
 }
 
 std::vector<jobs::Mutation> Roster::Collect(const jobs::Ledger& ledger, double now) {
@@ -489,7 +495,15 @@
         const Held& h = held->second;
         if (h.state == wire::PieceState::kExited) {
           const bool standing = job != nullptr && job->spec.shape == wire::Shape::kStanding;
-          if (h.cause == wire::Cause::kDone && !standing) {
+          const bool done = h.cause == wire::Cause::kDone && !standing;
+          // A report from before our term may be an old one that arrives now, ahead of newer ones:
+          // the machine may have lost its lease since and been told to start the attempt again.
+          // Only an end that counts for ever is taken from it.
+          if (!done && m->token < term_token_) {
+            if (gone) give_up("lease expired");
+            continue;
+          }
+          if (done) {
             auto* mu = mutation(Kind::kDone);
             mu->run_s = h.run_s;
             mu->flavor = m->flavor;
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -51,6 +51,7 @@
   uint64_t tick = 0;
   uint64_t checkin_tick = 0;
   uint64_t token = 0;  // the highest it has seen, as far as we were told
+  double last_checkin = -std::numeric_limits<double>::infinity();  // a report that came by itself
   double last_report = -std::numeric_limits<double>::infinity();
   double last_answer = -std::numeric_limits<double>::infinity();
   double reclaim_at = std::numeric_limits<double>::infinity();
@@ -168,6 +169,7 @@
   const Options options_;
   uint64_t token_ = 0;
   double term_start_ = 0;
+  uint64_t term_token_ = 0;  // the first of the term
   double others_until_ = 0;
   // By name, since plans go through them in that order; the index is for the many look-ups.
   std::map<std::string, Machine> machines_;
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -85,7 +85,11 @@
   fencing_ = true;
   auto r = co_await client_.Txn(std::move(guards), writes, store::Urgent::kYes);
   fencing_ = false;
-  if (!r.ok()) co_return false;
+  if (!r.ok()) {
+    // It may have been carried out all the same, and then our token is void.
+    Superseded(replica_.Stamp(store::BlockKey(0)));
+    co_return false;
+  }
   token_ = r.value.revision;
   replica_.Apply(store::BlockKey(0), writes[0].value, token_);
   spdlog::info("leadership: new token {} to make lost orders void", token_);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,6 +11,12 @@
 
 namespace hallpier::net {
 
+// How a request fared that was to go by way of another node.
+struct Relayed {
+  bool sent = false;  // without an answer it may still be carried out
+  std::optional<wire::HttpResponse> answer;
+};
+
 class HttpClient {
  public:
   // `max_idle` connections are kept per endpoint, and `max_all` in all, those in use included;
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -61,13 +61,13 @@
                      [&](const auto& p) { return Fresh(*p) && p->status.state_good; });
 }
 
-rt::Task<std::optional<wire::HttpResponse>> PeerMesh::Relay(wire::HttpRequest request) {
+rt::Task<Relayed> PeerMesh::Relay(wire::HttpRequest request) {
   Peer* best = nullptr;
   for (auto& p : peers_) {
     if (!Fresh(*p) || !p->status.state_good || p->pending.size() >= kMaxPending) continue;
     if (best == nullptr || p->pending.size() < best->pending.size()) best = p.get();
   }
-  if (best == nullptr) co_return std::nullopt;
+  if (best == nullptr) co_return Relayed();
   const uint64_t id = ++next_id_;
   auto pending = std::make_shared<Pending>();
   best->pending[id] = pending;
@@ -79,7 +79,10 @@
     co_await wait;
   }
   best->pending.erase(id);
-  co_return pending->answer;
+  Relayed out;
+  out.sent = true;
+  out.answer = std::move(pending->answer);
+  co_return out;
 }
 
 void PeerMesh::Announce(const wire::CancelNotice& notice) {
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "config/settings.h"
+#include "net/http_client.h"
 #include "net/stream.h"
 #include "wire/peer.h"
 
@@ -42,7 +43,7 @@
   bool Start(std::string* error);
 
   // By way of a peer that the state service answers; nothing if there is none, or no answer.
-  rt::Task<std::optional<wire::HttpResponse>> Relay(wire::HttpRequest request);
+  rt::Task<Relayed> Relay(wire::HttpRequest request);
   // True if every other node says, just now, that it can't reach the state service either.
   bool AllConfirmOutage() const;
   // Tells all nodes that understand it of a cancellation that was just recorded.
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -119,17 +119,26 @@
   // safe even for a transaction that got no answer here: its guards name the keys that it writes,
   // so that only one copy can ever be applied.
   const bool relayable = relay_ && (request.target == "/txn" || request.target.starts_with(kGet));
+  // A refusal of one copy says nothing of another that got no answer and may be carried out yet.
+  bool pending = false;
+  auto final = [&](const wire::HttpResponse& a) {
+    return repeatable || !pending || (a.status != 503 && a.status != 429);
+  };
   if (relayable && down()) {
-    std::optional<wire::HttpResponse> other = co_await relay_(request);
-    if (other) co_return other;
+    net::Relayed other = co_await relay_(request);
+    if (other.answer) co_return std::move(other.answer);
+    pending = other.sent;
   }
   std::optional<wire::HttpResponse> r =
       co_await http_.Call(scope_, options_.endpoint, request, timeout_s, repeatable);
   Note(r);
   if (relayable && down()) {
-    std::optional<wire::HttpResponse> other = co_await relay_(std::move(request));
-    if (other) co_return other;
+    pending = pending || !r;
+    net::Relayed other = co_await relay_(std::move(request));
+    if (other.answer && final(*other.answer)) co_return std::move(other.answer);
+    pending = pending || (other.sent && !other.answer);
   }
+  if (r && !final(*r)) r.reset();
   co_return r;
 }
 
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -44,7 +44,7 @@
     size_t max_body = 0;
   };
   // How a request reaches the service when this node is refused: by way of a peer, if set.
-  using Relay = std::function<rt::Task<std::optional<wire::HttpResponse>>(wire::HttpRequest)>;
+  using Relay = std::function<rt::Task<net::Relayed>(wire::HttpRequest)>;
 
   Client(rt::Scope& scope, Options options);
 
--- a/src/store/replica.cc
+++ b/src/store/replica.cc
@@ -25,7 +25,7 @@
   if (stamp > revision_ && key.starts_with(kActive)) Take(key, value, stamp);
 }
 
-rt::Task<> Replica::Refresh(std::string key) {
+rt::Task<bool> Replica::Refresh(std::string key) {
   const uint64_t known = Stamp(key);
   auto now = co_await client_.Get(key, Urgent::kYes);
   if (now.ok()) {
@@ -34,6 +34,7 @@
     // Dropped after it got the stamp that is known here, and before anything else it may get.
     Take(key, "", known + 1);
   }
+  co_return now.ok() || now.status == Status::kNotFound;
 }
 
 void Replica::Take(const std::string& key, const std::string& value, uint64_t stamp) {
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -36,8 +36,8 @@
 
   // Takes in a write of this node's own ahead of the watch.
   void Apply(const std::string& key, const std::string& value, uint64_t stamp);
-  // Reads a key that has turned out to be other than it is here.
-  rt::Task<> Refresh(std::string key);
+  // Reads a key that has turned out to be other than it is here; false if that failed.
+  rt::Task<bool> Refresh(std::string key);
 
  private:
   rt::Task<bool> Load();
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -79,6 +79,8 @@
     s.state_write_rps = 500;
     s.state_next = state_next_;
     s.teams.push_back({"other", 0, 0, 0, 0});
+    if (cpus_max_ > 0) s.teams[0].cpus_max = cpus_max_;
+    if (state_write_rps_ > 0) s.state_write_rps = state_write_rps_;
     return s;
   }
 
@@ -227,6 +229,8 @@
   std::vector<std::unique_ptr<app::Controller>> nodes_;
   bool finished_ = false;
   double state_rps_ = 2000;
+  double state_write_rps_ = 0;  // 0: plenty
+  double cpus_max_ = 0;         // of the team; 0: no limit
   double run_s_ = 0.3;
   std::optional<config::StateLimits> state_next_;
   int apart_ = -1;
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -336,6 +336,80 @@
 
 TEST_F(StoodStill, ALeaderVerifiesItsLeaseFirst) { Run(Script()); }
 
+// A copy that went by way of a peer got no answer, and the service refuses the next: that refusal
+// says nothing of the first copy, which may be carried out at any time yet.
+class RefusedAfterSilence : public NetTest {
+ public:
+  rt::Task<store::Status> Write(store::Client& client) {
+    std::vector<wire::Guard> guards;
+    std::vector<wire::Write> writes = {{"hallpier/x", "{}", 0}};
+    auto r = co_await client.Txn(std::move(guards), std::move(writes), store::Urgent::kYes);
+    co_return r.status;
+  }
+  rt::Task<> Script() {
+    std::string error;
+    standins::State state(scope_);
+    EXPECT_TRUE(state.Listen(At(6), &error)) << error;
+    store::Client client(scope_, StateAt(6));
+    bool sent = false;
+    client.SetRelay([&sent](wire::HttpRequest) -> rt::Task<net::Relayed> {
+      net::Relayed r;
+      r.sent = sent;
+      co_return r;
+    });
+    state.SetOutage(true);
+    store::Status status = store::Status::kOk;
+    for (int i = 0; i < 3; ++i) status = co_await Write(client);
+    EXPECT_TRUE(client.down());
+    EXPECT_EQ(status, store::Status::kRefused) << "no peer took it";
+    sent = true;
+    status = co_await Write(client);
+    EXPECT_EQ(status, store::Status::kUnknown);
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+};
+
+TEST_F(RefusedAfterSilence, IsNoRefusal) { Run(Script()); }
+
+// A leader raises its token, and the answer is lost though it was carried out: the old token is
+// void. A node without peers must notice by itself, or no commit would ever succeed again.
+class LostFence : public NetTest {
+ public:
+  rt::Task<> Script() {
+    std::string error;
+    standins::State state(scope_);
+    EXPECT_TRUE(state.Listen(At(7), &error)) << error;
+    config::Settings s = SettingsOf();
+    s.report_s = 1;
+    store::Client client(scope_, StateAt(7));
+    lead::Leadership* told = nullptr;
+    store::Replica replica(scope_, client, 0.2, [&](const std::string& key, const std::string& v) {
+      if (key == store::LeaderKey()) told->OnRecord(v);
+    });
+    int terms = 0;
+    const config::Operator operators;
+    lead::Leadership lead(scope_, s, operators, client, replica, [&](rt::Scope&) { ++terms; });
+    told = &lead;
+    scope_.Spawn(replica.Run());
+    scope_.Spawn(lead.Run());
+    while (!lead.leading()) co_await Pause(0.01);
+    const uint64_t token = lead.token();
+    state.LoseAnswers(store::BlockKey(0), standins::State::Lost::kAtOnce);
+    bool fenced = co_await lead.Fence();
+    EXPECT_FALSE(fenced);
+    EXPECT_EQ(state.lost(), 1);
+    const double end = loop_.Now() + 5;
+    while (terms < 2 && loop_.Now() < end) co_await Pause(0.01);
+    EXPECT_EQ(terms, 2);
+    EXPECT_GT(lead.token(), token);
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+};
+
+TEST_F(LostFence, EndsTheTerm) { Run(Script()); }
+
 // A job is cancelled by one node and ended by the leader at once: the watch tells of both before
 // the first node's own write is answered. It must not come back then; as a ghost it would make
 // every commit of the next leader fail.
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 #include "fixtures.h"
 #include "plan/duplex.h"
 #include "plan/round.h"
@@ -133,6 +136,48 @@
   EXPECT_EQ(Plan().places.size(), 2u);
 }
 
+// A team at its limit, whose jobs are cancelled while their machines can't be asked: what may be
+// alive counts, whoever leads.
+TEST_F(RoundTest, CancelledTasksCountUntilTheyAreProvenGone) {
+  settings_.teams = {{"team", 0, 3, 0, 0}};
+  PutJob(ledger_, Spec("run-1", 3));
+  for (uint32_t i = 0; i < 3; ++i) Place(ledger_, "run-1", i, 1, "vm-cut-off");
+  PutJob(ledger_, Spec("run-1", 3), 1, true);
+  PutJob(ledger_, Spec("run-2", 2));
+  AddMachine("vm-1");
+  EXPECT_EQ(Plan().places.size(), 0u);
+  ledger_.Apply(store::ParseKey(store::ShardKey("run-1", 0)),
+                R"({"done":[],"on":{"":[0,1,2]},"runs":{}})");
+  EXPECT_EQ(Plan().places.size(), 2u);
+}
+
+// An array bound to one zone has lost its machines: while one of them may be alive in a zone that
+// is not known any more, nothing new may start; then all go to one zone.
+TEST_F(RoundTest, AJobBoundToOneZoneWaitsForWhatMayBeAliveElsewhere) {
+  auto spec = Spec("run-1", 6);
+  spec.one_zone = true;
+  PutJob(ledger_, spec);
+  Place(ledger_, "run-1", 0, 1, "vm-unknown");
+  AddMachine("vm-1");
+  for (const char* name : {"vm-2", "vm-3"}) {
+    wire::Report r = ReportOf(name, 1, 1, 7);
+    r.zone = "b";
+    roster_.OnReport(r, 100, false);
+  }
+  EXPECT_EQ(Plan().places.size(), 0u);
+  ledger_.Apply(store::ParseKey(store::ShardKey("run-1", 0)),
+                R"({"done":[],"on":{"":[0]},"runs":{}})");
+  const RoundResult r = Plan();
+  std::set<std::string> zones;
+  for (const auto& p : r.places) zones.insert(roster_.Find(p.machine)->zone);
+  EXPECT_GT(r.places.size(), 0u);
+  EXPECT_EQ(zones.size(), 1u);
+  // What runs in a zone keeps the rest there, also once a new leader takes over.
+  Place(ledger_, "run-1", 1, 1, "vm-1");
+  roster_.BeginTerm(8, 100, 100);
+  for (const auto& p : Plan().places) EXPECT_EQ(roster_.Find(p.machine)->zone, "a");
+}
+
 TEST_F(RoundTest, AHigherTierTakesTheRoomFirst) {
   auto low = Spec("run-1", 4), high = Spec("run-2", 4);
   low.urgency = wire::Urgency::kBestEffort;
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -188,6 +188,59 @@
   EXPECT_EQ(roster_.Find("vm-1")->held.size(), 1u);
 }
 
+// A copy of a report from an earlier session is the first that a new leader gets of the machine: an
+// end that it tells of is not the last word, since the attempt was started again in the next
+// session.
+TEST_F(RosterTest, AnOldReportOfAnEndFreesNothingInANewTerm) {
+  Checkin(1, 40, kToken - 1, 1,
+          {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
+  EXPECT_FALSE(Freed(1));
+  Checkin(2, 55, kToken - 1, 2, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  EXPECT_FALSE(Freed(2)) << "it runs";
+  EXPECT_TRUE(
+      Checkin(2, 56, kToken, 3, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)}).empty());
+  Checkin(2, 57, kToken, 4,
+          {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kError)});
+  EXPECT_TRUE(Freed(4)) << "told to us";
+}
+
+// That it is done counts whoever was told: the result is kept.
+TEST_F(RosterTest, AnOldReportOfACompletionCounts) {
+  Checkin(1, 40, kToken - 1, 1,
+          {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kDone)});
+  const auto found = roster_.Collect(ledger_, 1);
+  ASSERT_EQ(found.size(), 1u);
+  EXPECT_EQ(found[0].kind, Kind::kDone);
+}
+
+// A machine that reaches no controller, while direct commands reach it: its lease runs out, and in
+// the next session a direct command starts what is recorded once more. That session has a lease of
+// its own, so that nothing is free when the first one's is over.
+TEST_F(RosterTest, WhatADirectCommandStartedInANewSessionLivesAsLongAsThatSession) {
+  Checkin(1, 1, kToken, 0, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  roster_.OnReport(ReportOf("vm-1", 2, 9, kToken), 30.5, true);  // the answer to a direct command
+  auto orders = roster_.Orders(*roster_.Find("vm-1"), ledger_, true);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, wire::Verb::kRun);
+  wire::Report started = ReportOf("vm-1", 2, 10, kToken);
+  started.pieces = {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)};
+  roster_.OnReport(started, 31, true);
+  roster_.FinishDirect("vm-1", orders, kToken, true);
+  EXPECT_FALSE(Freed(45)) << "it runs in the second session until its lease is over";
+  EXPECT_FALSE(Freed(60));
+  EXPECT_TRUE(Freed(63));
+}
+
+TEST_F(RosterTest, AMachineThatOnlyAnswersCommandsGetsNothingNewAndCountsAsSilent) {
+  Checkin(1, 1, kToken, 100);
+  EXPECT_TRUE(roster_.Usable(*roster_.Find("vm-1"), 101));
+  for (uint64_t i = 2; i < 8; ++i) {
+    roster_.OnReport(ReportOf("vm-1", 1, i, kToken), 100 + 3.0 * static_cast<double>(i), true);
+  }
+  EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 122));
+  EXPECT_TRUE(roster_.Silent(*roster_.Find("vm-1"), 122));
+}
+
 // Seen from reports alone: the token that every answer brings never shows.
 TEST_F(RosterTest, AMachineThatHearsNothingGetsNoWorkAndItsTasksStayCounted) {
   for (int i = 1; i <= 5; ++i) Checkin(1, static_cast<uint64_t>(i), 0, 3 * i);
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -153,6 +153,36 @@
   return Answer(200, Revision(revision_));
 }
 
+rt::Task<wire::HttpResponse> State::AnswerTxn(std::string body) {
+  auto d = wire::ParseObject(body);
+  bool loses = false;
+  if (d && lose_count_ > 0) {
+    for (const auto& o : (*d)["then"].GetArray()) {
+      loses = loses || wire::GetText(o, "put").value_or("").starts_with(lose_prefix_);
+    }
+  }
+  if (!loses) co_return Txn(body);
+  --lose_count_;
+  ++lost_so_far_;
+  if (lost_ == Lost::kAtOnce) {
+    Txn(body);
+  } else {
+    late_.push_back(std::move(body));
+  }
+  // Longer than anybody waits for it.
+  rt::Sleep never(scope_, 30);
+  co_await never;
+  co_return Answer(503, "{}");
+}
+
+int State::CarryOutLate() {
+  int done = 0;
+  for (const std::string& body : std::exchange(late_, {})) {
+    if (Txn(body).status == 200) ++done;
+  }
+  return done;
+}
+
 wire::HttpResponse State::List(const std::string& target) const {
   auto q = Query(target);
   wire::JsonWriter w;
@@ -213,7 +243,13 @@
     w.EndArray();
     w.EndObject();
     const double left = until - scope_.loop().Now();
-    if (any || left <= 0 || scope_.cancelled()) co_return Answer(200, w.Take());
+    if (any || left <= 0 || scope_.cancelled()) {
+      if (watch_lag_s_ > 0) {
+        rt::Sleep lag(scope_, watch_lag_s_);
+        co_await lag;
+      }
+      co_return Answer(200, w.Take());
+    }
     auto wait = changed_.Await(scope_, left);
     co_await wait;
   }
@@ -233,7 +269,10 @@
     wire::HttpResponse answer = co_await Follow(r.target);
     co_return answer;
   }
-  if (path == "/txn") co_return Txn(r.body);
+  if (path == "/txn") {
+    wire::HttpResponse answer = co_await AnswerTxn(r.body);
+    co_return answer;
+  }
   if (path.starts_with("/holds")) co_return Holds(r);
   if (path == "/store") co_return List(r.target);
   auto it = keys_.find(path.substr(std::min(path.size(), std::string_view("/store/").size())));
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -35,6 +35,20 @@
   };
   void SetLimits(Limits limits) { limits_ = limits; }
   int refused() const { return refused_; }  // for their size or rate
+  // Of the next transactions that write a key with this prefix no answer comes: carried out at
+  // once, or only when CarryOutLate() says so. Empty: none.
+  enum class Lost { kAtOnce, kLate };
+  void LoseAnswers(std::string prefix, Lost lost, int count = 1) {
+    lose_prefix_ = std::move(prefix);
+    lost_ = lost;
+    lose_count_ = count;
+  }
+  // How many answers were lost so far.
+  int lost() const { return lost_so_far_; }
+  // Carries out what was held back, and says how much of it had an effect.
+  int CarryOutLate();
+  // Watches tell of changes so much later.
+  void SetWatchLag(double s) { watch_lag_s_ = s; }
   // Told of every write that was carried out; an empty value: a drop.
   using OnWrite = std::function<void(const std::string& key, const std::string& value)>;
   void Watch(OnWrite on_write) { on_write_ = std::move(on_write); }
@@ -58,6 +72,7 @@
   rt::Task<wire::HttpResponse> HandleApart(wire::HttpRequest request);
   rt::Task<wire::HttpResponse> Follow(std::string target);
   wire::HttpResponse Txn(const std::string& body);
+  rt::Task<wire::HttpResponse> AnswerTxn(std::string body);
   // Nothing if the limits allow it.
   std::optional<wire::HttpResponse> Refuse(const wire::JsonValue& writes);
   wire::HttpResponse List(const std::string& target) const;
@@ -78,6 +93,12 @@
   bool outage_ = false;
   Limits limits_;
   int refused_ = 0;
+  std::string lose_prefix_;
+  Lost lost_ = Lost::kAtOnce;
+  int lose_count_ = 0;
+  int lost_so_far_ = 0;
+  std::vector<std::string> late_;
+  double watch_lag_s_ = 0;
   double write_level_ = 0;
   double write_at_ = 0;
   OnWrite on_write_;
