--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -43,13 +43,17 @@
     cpus_max_ = 4;
   }
   rt::Task<> Script() {
+    // Machines are there, and nothing else is to be written when run-2 is placed.
     co_await Accepted(0, Spec("run-1", 4));
     co_await Runs("run-1", 4);
+    co_await Withdraw(0, "run-1");
+    bool over = co_await Within(5, [&] { return state_->Value(store::JobKey("run-1")).empty(); });
+    EXPECT_TRUE(over);
+    co_await Pause(2 * kReport);
     state_->LoseAnswers("hallpier/a/t/run-2", State::Lost::kLate);
     co_await Accepted(0, Spec("run-2", 4));
     auto urgent = Spec("run-3", 4);
     urgent.urgency = wire::Urgency::kUrgent;
-    co_await Withdraw(0, "run-1");
     bool lost = co_await Within(10, [&] { return state_->lost() == 1; });
     EXPECT_TRUE(lost);
     co_await Accepted(0, urgent);
