--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -63,7 +63,7 @@
     h.since = now;
     auto old = m.held.find(p.task);
     const bool known = old != m.held.end() && old->second.attempt == p.attempt;
-    if (known && old->second.state == p.state) {
+    if (known && old->second.state == p.state && old->second.cause == p.cause) {
       h = old->second;
     } else if (p.state == wire::PieceState::kExited) {
       // A task may fail before any report has shown it alive: that counts like any other failure.
@@ -482,7 +482,7 @@
       };
       // Writing that takes its time, and may succeed late without an answer: meanwhile the worker
       // may be back, and must not be told to start what is about to start elsewhere.
-      auto give_up = [&](const char* why) {
+      auto give_up = [&](std::string_view why) {
         mutation(Kind::kRequeue)->why = why;
         Stop(task, attempt, 0);
       };
@@ -509,7 +509,7 @@
             mu->flavor = m->flavor;
             mu->age_s = now - h.since;
           } else {
-            mutation(Kind::kRequeue)->why = wire::CauseName(h.cause);
+            give_up(wire::CauseName(h.cause));
           }
           continue;
         }
--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -155,8 +155,12 @@
         if (auto held = m.held.find(task); held != m.held.end() &&
                                            held->second.attempt == attempt &&
                                            held->second.state == wire::PieceState::kExited) {
-          // Over, whether that is recorded yet or not: its room is free at once.
-          ended_[job->spec.team] += need;
+          // Over, whether that is recorded yet or not: its room on the machine is free at once. Its
+          // part of the team's limit is only if it is done: whoever leads next finds the attempt
+          // recorded, and starts it again if the machine has lost its lease by then.
+          const bool done =
+              held->second.cause == wire::Cause::kDone && job->spec.shape != wire::Shape::kStanding;
+          if (done) ended_[job->spec.team] += need;
           continue;
         }
         free -= need;
@@ -632,7 +636,7 @@
   std::unordered_map<const jobs::Job*, int> tiers_;
   std::vector<std::vector<Victim>> victims_;  // by machine; empty until somebody asks
   std::vector<Stop> stops_;                   // of the last Evict()
-  std::map<std::string, Room> ended_;         // by team: recorded as placed, reported as ended
+  std::map<std::string, Room> ended_;         // by team: recorded as placed, reported as done
   double total_cpus_ = 0;
   double starved_cpus_ = 0;  // of work that has waited beyond the bound, oldest first
   RoundResult result_;
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -151,6 +151,23 @@
   EXPECT_EQ(Plan().places.size(), 2u);
 }
 
+// A team at its limit, one of whose tasks was stopped: until that is recorded nobody takes its part
+// of the limit, or the next leader may find both. What is done needs no room again.
+TEST_F(RoundTest, OnlyADoneTaskMakesRoomUnderItsTeamsLimitBeforeItIsRecorded) {
+  settings_.teams = {{"team", 0, 1, 0, 0}};
+  PutJob(ledger_, Spec("run-1", 1));
+  PutJob(ledger_, Spec("run-2", 1));
+  Place(ledger_, "run-1", 0, 1, "vm-1");
+  wire::Report r = ReportOf("vm-1", 1, 1, 7);
+  r.pieces = {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kStopped)};
+  roster_.OnReport(r, 100, false);
+  EXPECT_EQ(Plan().places.size(), 0u);
+  r.tenure = r.tick = 2;
+  r.pieces = {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kDone)};
+  roster_.OnReport(r, 100, false);
+  EXPECT_EQ(PlacedOf(Plan(), "run-2"), 1u);
+}
+
 // An array bound to one zone has lost its machines: while one of them may be alive in a zone that
 // is not known any more, nothing new may start; then all go to one zone.
 TEST_F(RoundTest, AJobBoundToOneZoneWaitsForWhatMayBeAliveElsewhere) {
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -204,6 +204,16 @@
   EXPECT_TRUE(Freed(4)) << "told to us";
 }
 
+// An attempt that has ended is over, though that may not be written for a while: in the machine's
+// next session it is not started again, since its room may have gone to others.
+TEST_F(RosterTest, AnAttemptThatEndedIsNotStartedAgainInTheNextSession) {
+  Checkin(1, 1, kToken, 1, {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)});
+  Checkin(1, 2, kToken, 4,
+          {PieceOf("run-1", 0, 1, wire::PieceState::kExited, wire::Cause::kStopped)});
+  EXPECT_TRUE(Freed(4));
+  EXPECT_TRUE(Checkin(2, 3, kToken, 50).empty());
+}
+
 // That it is done counts whoever was told: the result is kept.
 TEST_F(RosterTest, AnOldReportOfACompletionCounts) {
   Checkin(1, 40, kToken - 1, 1,
