--- a/src/app/duties.cc
+++ b/src/app/duties.cc
@@ -134,7 +134,7 @@
   }
   const double begin = term.loop().Now();
   urgent_came_ = false;
-  roster_.Learn(*d_.ledger, begin);
+  roster_.Learn(*d_.ledger);
   std::vector<jobs::Mutation> mutations = roster_.Collect(*d_.ledger, begin);
   std::map<std::string, int> requeued;
   for (const auto& m : mutations) {
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -36,7 +36,12 @@
   term_start_ = now;
   others_until_ = others_until;
   gone_.clear();
-  for (auto& [name, m] : machines_) m.sent.clear();
+  for (auto& [name, m] : machines_) {
+    m.sent.clear();
+    // What ran in an earlier term of ours was watched by others since: how long it has taken is not
+    // known here, and machines that are well would be taken for slow.
+    for (auto& [task, held] : m.held) held.seen_start = false;
+  }
 }
 
 Machine* Roster::Find(const std::string& name) {
@@ -166,7 +171,7 @@
   return changed;
 }
 
-void Roster::Learn(const jobs::Ledger& ledger, double now) {
+void Roster::Learn(const jobs::Ledger& ledger) {
   std::erase_if(health_, [&](const auto& h) { return ledger.Find(h.first) == nullptr; });
   for (auto& [name, m] : machines_) {
     for (auto& [task, h] : m.held) {
@@ -179,7 +184,9 @@
       double ran = 0;
       if (h.state == wire::PieceState::kExited && h.cause == wire::Cause::kDone) ran = h.run_s;
       // A running task tells something once it has taken far too long, not before.
-      if (running && h.seen_start && now - h.since > kSlow * *mean) ran = now - h.since;
+      // As of its last report: while none come it may have ended long ago.
+      const double runs = m.last_report - h.since;
+      if (running && h.seen_start && runs > kSlow * *mean) ran = runs;
       if (ran <= 0) continue;
       h.learned = true;
       ++m.slow_samples;
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -108,7 +108,7 @@
   // an answer of ours. True if something changed that a round should look at.
   bool OnReport(const wire::Report& r, double now, bool direct);
   // Learns from what runs and has run: images that are there, and how slow a machine is.
-  void Learn(const jobs::Ledger& ledger, double now);
+  void Learn(const jobs::Ledger& ledger);
   // True if a machine takes so much longer than others that it is better replaced.
   static bool Slow(const Machine& m);
   // An answer to `r` goes out. What an answer to a report that is not the newest could renew
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -352,6 +352,29 @@
   EXPECT_TRUE(roster_.Find("vm-1")->returning);
 }
 
+// A leader that hears nothing for a while, or leads again after another did, knows of no slow
+// machine: tasks that it saw start may have ended long ago (docs/incidents/inc-01ae.md).
+TEST_F(RosterTest, WhatWasNotWatchedMakesNoMachineSlow) {
+  store::Shard shard;
+  for (uint32_t i = 0; i < 3; ++i) shard.done.Insert(i);
+  shard.runs["c4"] = {3, 30};
+  PutJob(ledger_, Spec("run-2", 9));
+  PutShard(ledger_, "run-2", 0, shard);
+  std::vector<wire::Piece> pieces;
+  for (uint32_t i : {3u, 4u, 5u}) {
+    Place(ledger_, "run-2", i, 1, "vm-1");
+    pieces.push_back(PieceOf("run-2", i, 1, wire::PieceState::kRunning));
+  }
+  Checkin(1, 1, kToken, 0);
+  Checkin(1, 2, kToken, 1, pieces);
+  roster_.Learn(ledger_);  // 90 s later, say, with no report since
+  EXPECT_FALSE(Roster::Slow(*roster_.Find("vm-1")));
+  roster_.BeginTerm(kToken + 5, 90, 100);
+  Checkin(1, 60, kToken + 5, 91, pieces);
+  roster_.Learn(ledger_);
+  EXPECT_FALSE(Roster::Slow(*roster_.Find("vm-1"))) << "another leader watched them meanwhile";
+}
+
 TEST_F(RosterTest, AMachineThatTakesFarLongerThanOthersGetsNothingNew) {
   store::Shard shard;
   for (uint32_t i = 0; i < 3; ++i) shard.done.Insert(i);
@@ -369,10 +392,10 @@
   }
   Checkin(1, 2, kToken, 1, pieces);
   Checkin(1, 3, kToken, 15, pieces);
-  roster_.Learn(ledger_, 15);
+  roster_.Learn(ledger_);
   EXPECT_TRUE(roster_.Usable(*roster_.Find("vm-1"), 15)) << "14 s for 10 s happens";
   Checkin(1, 4, kToken, 45, pieces);
-  roster_.Learn(ledger_, 45);
+  roster_.Learn(ledger_);
   EXPECT_FALSE(roster_.Usable(*roster_.Find("vm-1"), 45));
   EXPECT_GT(roster_.Find("vm-1")->slowness, 2);
 }
