--- a/src/plan/round.cc
+++ b/src/plan/round.cc
@@ -16,6 +16,8 @@
 constexpr double kNow = 1e-6;
 // A new machine is worth renting for tasks that would else wait this part of its boot time.
 constexpr double kWorthRenting = 0.2;
+// A task that was running when it was first heard of has run for this part of its time, on average.
+constexpr double kUnseenRun = 0.5;
 // A lane is prompt if its tasks should start within this many report periods.
 constexpr double kPromptReports = 3;
 // What a stop takes beyond saving, as a part of the reaction time.
@@ -503,8 +505,11 @@
       }
       auto tier = tiers_.find(job);
       const int rank = tier == tiers_.end() ? std::numeric_limits<int>::max() : tier->second;
+      // A new leader has not seen it start: it may have run for most of its time by then. Were it
+      // taken for new, a takeover under load would stop what has run longest.
+      const double unseen = held->second.seen_start ? 0 : kUnseenRun * PredictRun(*job, m.flavor);
       victims_[i].push_back(
-          {task, attempt, job, rank, now_ - held->second.since, NeedOf(job->spec)});
+          {task, attempt, job, rank, unseen + now_ - held->second.since, NeedOf(job->spec)});
     }
   }
 
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -256,6 +256,32 @@
   EXPECT_TRUE(r.places.empty()) << "the room is not there yet";
 }
 
+// A leader that has just taken over knows of no task how long it has run: of two that it heard of
+// at the same moment the one of the longer job has more to lose, and one that it started itself has
+// less.
+TEST_F(RoundTest, AfterATakeoverWhatMayHaveRunLongIsNotStoppedFirst) {
+  auto longer = Spec("run-1", 2, 2), shorter = Spec("run-3", 2, 2);
+  longer.urgency = shorter.urgency = wire::Urgency::kBestEffort;
+  longer.estimate_s = 500;
+  shorter.estimate_s = 100;
+  PutJob(ledger_, longer);
+  PutJob(ledger_, shorter);
+  Place(ledger_, "run-1", 0, 1, "vm-1");
+  Place(ledger_, "run-3", 0, 1, "vm-1");
+  wire::Report r = ReportOf("vm-1", 1, 1, 7);
+  r.pieces = {PieceOf("run-3", 0, 1, wire::PieceState::kRunning)};
+  roster_.OnReport(r, 96, false);
+  r.tick = 2;
+  r.pieces.push_back(PieceOf("run-1", 0, 1, wire::PieceState::kRunning));
+  roster_.OnReport(r, 99, false);
+  auto urgent = Spec("run-2", 1, 2);
+  urgent.urgency = wire::Urgency::kUrgent;
+  PutJob(ledger_, urgent, 2);
+  const auto plan = Plan();
+  ASSERT_EQ(plan.preemptions.size(), 1u);
+  EXPECT_EQ(plan.preemptions[0].task.job, "run-3");
+}
+
 // Seen on a recorded day: work within a guarantee stopped urgent tasks every half second, and they
 // took the room again, being first in the order.
 TEST_F(RoundTest, WorkWithinAGuaranteeStopsOthersOnlyOnceItComesFirst) {
