--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -204,6 +204,14 @@
     }
     EXPECT_GT(told_["cancelled"], 0);
     EXPECT_GT(told_["done"], 0);
+    // Asked for while it runs, and carried out only after its end was recorded.
+    co_await Accepted(0, Spec("run-40", 1));
+    bool begun = co_await Within(5, [&] { return cloud_->Running("run-40") == 1; });
+    EXPECT_TRUE(begun);
+    state_->DelayTxns("hallpier/a/j/run-40", 0.8);
+    const std::string told = co_await Withdraw(1, "run-40");
+    EXPECT_EQ(told, "done");
+    co_await AllSay("run-40", "\"phase\":\"done\"");
   }
 
  private:
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -153,15 +153,21 @@
   return Answer(200, Revision(revision_));
 }
 
-rt::Task<wire::HttpResponse> State::AnswerTxn(std::string body) {
+bool State::Writes(const std::string& body, const std::string& prefix) {
   auto d = wire::ParseObject(body);
-  bool loses = false;
-  if (d && lose_count_ > 0) {
-    for (const auto& o : (*d)["then"].GetArray()) {
-      loses = loses || wire::GetText(o, "put").value_or("").starts_with(lose_prefix_);
-    }
+  if (!d) return false;
+  const auto& then = (*d)["then"];
+  return std::any_of(then.Begin(), then.End(), [&](const wire::JsonValue& o) {
+    return wire::GetText(o, "put").value_or("").starts_with(prefix);
+  });
+}
+
+rt::Task<wire::HttpResponse> State::AnswerTxn(std::string body) {
+  if (delay_s_ > 0 && Writes(body, delay_prefix_)) {
+    rt::Sleep pause(scope_, delay_s_);
+    co_await pause;
   }
-  if (!loses) co_return Txn(body);
+  if (lose_count_ == 0 || !Writes(body, lose_prefix_)) co_return Txn(body);
   --lose_count_;
   ++lost_so_far_;
   if (lost_ == Lost::kAtOnce) {
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -47,6 +47,11 @@
   int lost() const { return lost_so_far_; }
   // Carries out what was held back, and says how much of it had an effect.
   int CarryOutLate();
+  // Transactions that write a key with this prefix are carried out so much after they came.
+  void DelayTxns(std::string prefix, double s) {
+    delay_prefix_ = std::move(prefix);
+    delay_s_ = s;
+  }
   // Watches tell of changes so much later.
   void SetWatchLag(double s) { watch_lag_s_ = s; }
   // Told of every write that was carried out; an empty value: a drop.
@@ -73,6 +78,8 @@
   rt::Task<wire::HttpResponse> Follow(std::string target);
   wire::HttpResponse Txn(const std::string& body);
   rt::Task<wire::HttpResponse> AnswerTxn(std::string body);
+  // Whether a transaction writes a key with this prefix.
+  static bool Writes(const std::string& body, const std::string& prefix);
   // Nothing if the limits allow it.
   std::optional<wire::HttpResponse> Refuse(const wire::JsonValue& writes);
   wire::HttpResponse List(const std::string& target) const;
@@ -98,6 +105,8 @@
   int lose_count_ = 0;
   int lost_so_far_ = 0;
   std::vector<std::string> late_;
+  std::string delay_prefix_;
+  double delay_s_ = 0;
   double watch_lag_s_ = 0;
   double write_level_ = 0;
   double write_at_ = 0;
