--- a/tests/gap_test.cc
+++ b/tests/gap_test.cc
@@ -69,6 +69,25 @@
     EXPECT_TRUE(ok);
   }
 
+  // Node 1 has read it for a user, long before its watch would tell: it must hand over what it
+  // told.
+  rt::Task<> OnlyRead() {
+    co_await Prepare();
+    state_->SetWatchLag(10);
+    state_->Cut(true);
+    co_await CancelledByAnother();
+    bool ok = co_await Until(1, "GET", "/submissions/run-1", "", 200, "cancelled", 2);
+    EXPECT_TRUE(ok);
+    state_->SetOutage(true);
+    co_await Pause(told_ + kCancelS - loop_.Now());
+    EXPECT_EQ(cloud_->Running("run-1"), 0);
+    EXPECT_EQ(cloud_->Running("run-2"), 6);
+    EXPECT_EQ(cloud_->starts(), 12);
+    state_->SetWatchLag(0);
+    state_->SetOutage(false);
+    state_->Cut(false);
+  }
+
   // Whoever told it has ended; its node is back at once and sees the outage like all others, but
   // does not know what it told before.
   rt::Task<> Forgot() {
@@ -110,6 +129,12 @@
   EXPECT_EQ(cloud_->started_twice(), 0);
 }
 
+TEST_F(GapTest, WhatANodeHasReadForAUserIsHandedOverAsWell) {
+  Start(3);
+  Run(OnlyRead());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
 TEST_F(GapTest, ALeaderThatNobodyVouchesForFallsSilentInTime) {
   Start(3);
   Run(Forgot());
