--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -187,6 +187,13 @@
     co_return false;
   }
 
+  // Node 0 of three leads before the others are started.
+  rt::Task<> StartOthersOnceItLeads() {
+    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
+    EXPECT_TRUE(ok);
+    StartNodes(1, 3, 3);
+  }
+
   static store::Client::Options StateOptions() {
     store::Client::Options o;
     o.endpoint = "127.0.0.1:" + std::to_string(Base() + 20);
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -186,10 +186,8 @@
   }
 
   rt::Task<> Apart() {
-    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
-    EXPECT_TRUE(ok);
-    StartNodes(1, 3, 3);
-    ok = co_await Until(0, "POST", "/submissions", Body(Spec("run-6", 40)), 201, "", 10);
+    co_await StartOthersOnceItLeads();
+    bool ok = co_await Until(0, "POST", "/submissions", Body(Spec("run-6", 40)), 201, "", 10);
     EXPECT_TRUE(ok);
     ok = co_await Until(0, "GET", "/submissions/run-6", "", 200, "\"phase\":\"running\"", 10);
     EXPECT_TRUE(ok);
--- a/tests/gap_test.cc
+++ b/tests/gap_test.cc
@@ -19,9 +19,8 @@
 
   // Node 0 leads with two jobs at work; all nodes understand vouches.
   rt::Task<> Prepare() {
-    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
-    EXPECT_TRUE(ok);
-    StartNodes(1, 3, 3);
+    co_await StartOthersOnceItLeads();
+    bool ok = false;
     for (const char* id : {"run-1", "run-2"}) {
       ok = co_await Until(1, "POST", "/submissions", Body(Spec(id, 6)), 201, "", 10);
       EXPECT_TRUE(ok);
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -82,12 +82,10 @@
  public:
   LateAndNextLeaderTest() { run_s_ = 2; }
   rt::Task<> Script() {
-    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
-    EXPECT_TRUE(ok);
-    StartNodes(1, 3, 3);
+    co_await StartOthersOnceItLeads();
     state_->LoseAnswers("hallpier/a/t/run-1", State::Lost::kLate, 2);
     co_await Accepted(1, Spec("run-1", 20));
-    ok = co_await Within(10, [&] { return state_->lost() >= 1; });
+    bool ok = co_await Within(10, [&] { return state_->lost() >= 1; });
     EXPECT_TRUE(ok);
     End(0);
     ok = co_await Until(1, "GET", "/submissions/run-1", "", 200, "\"phase\":\"running\"", 15);
@@ -231,9 +229,7 @@
     run_s_ = 60;
   }
   rt::Task<> Script() {
-    bool ok = co_await Until(0, "POST", "/checkin", Report(1), 200, "epoch", 10);
-    EXPECT_TRUE(ok);
-    StartNodes(1, 3, 3);
+    co_await StartOthersOnceItLeads();
     for (int i = 1; i <= 4; ++i) co_await Accepted(1, Spec("run-" + std::to_string(i), 4));
     for (int i = 1; i <= 4; ++i) co_await Runs("run-" + std::to_string(i), 4);
     cloud_->WatchStarts([this](const wire::TaskId& t) {
@@ -249,8 +245,8 @@
     }
     for (int i = 1; i <= 3; ++i) {
       const std::string id = "run-" + std::to_string(i);
-      ok = co_await Within(told_[id] + *cancel_s_ - loop_.Now(),
-                           [&] { return cloud_->Running(id) == 0; });
+      bool ok = co_await Within(told_[id] + *cancel_s_ - loop_.Now(),
+                                [&] { return cloud_->Running(id) == 0; });
       EXPECT_TRUE(ok) << id;
     }
     co_await Pause(2);
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -42,6 +42,22 @@
 
   void Cancel() { PutJob(ledger_, Spec("run-1", 4), 1, true); }
 
+  // A job of nine tasks, of which three are done in 10 s each, and three more are placed on vm-1.
+  // They are returned as running.
+  std::vector<wire::Piece> JobWithKnownTimes() {
+    store::Shard shard;
+    for (uint32_t i = 0; i < 3; ++i) shard.done.Insert(i);
+    shard.runs["c4"] = {3, 30};
+    PutJob(ledger_, Spec("run-2", 9));
+    PutShard(ledger_, "run-2", 0, shard);
+    std::vector<wire::Piece> pieces;
+    for (uint32_t i : {3u, 4u, 5u}) {
+      Place(ledger_, "run-2", i, 1, "vm-1");
+      pieces.push_back(PieceOf("run-2", i, 1, wire::PieceState::kRunning));
+    }
+    return pieces;
+  }
+
   static constexpr uint64_t kToken = 7;
   jobs::Ledger ledger_;
   Roster roster_;
@@ -355,16 +371,7 @@
 // A leader that hears nothing for a while, or leads again after another did, knows of no slow
 // machine: tasks that it saw start may have ended long ago (docs/incidents/inc-01ae.md).
 TEST_F(RosterTest, WhatWasNotWatchedMakesNoMachineSlow) {
-  store::Shard shard;
-  for (uint32_t i = 0; i < 3; ++i) shard.done.Insert(i);
-  shard.runs["c4"] = {3, 30};
-  PutJob(ledger_, Spec("run-2", 9));
-  PutShard(ledger_, "run-2", 0, shard);
-  std::vector<wire::Piece> pieces;
-  for (uint32_t i : {3u, 4u, 5u}) {
-    Place(ledger_, "run-2", i, 1, "vm-1");
-    pieces.push_back(PieceOf("run-2", i, 1, wire::PieceState::kRunning));
-  }
+  const std::vector<wire::Piece> pieces = JobWithKnownTimes();
   Checkin(1, 1, kToken, 0);
   Checkin(1, 2, kToken, 1, pieces);
   roster_.Learn(ledger_);  // 90 s later, say, with no report since
@@ -376,20 +383,9 @@
 }
 
 TEST_F(RosterTest, AMachineThatTakesFarLongerThanOthersGetsNothingNew) {
-  store::Shard shard;
-  for (uint32_t i = 0; i < 3; ++i) shard.done.Insert(i);
-  shard.runs["c4"] = {3, 30};
-  auto spec = Spec("run-2", 9);
-  PutJob(ledger_, spec);
-  PutShard(ledger_, "run-2", 0, shard);
-  Place(ledger_, "run-2", 3, 1, "vm-1");
-  Place(ledger_, "run-2", 4, 1, "vm-1");
-  Place(ledger_, "run-2", 5, 1, "vm-1");
+  std::vector<wire::Piece> pieces = JobWithKnownTimes();
   Checkin(1, 1, kToken, 0);
-  std::vector<wire::Piece> pieces = {PieceOf("run-1", 0, 1, wire::PieceState::kRunning)};
-  for (uint32_t i : {3u, 4u, 5u}) {
-    pieces.push_back(PieceOf("run-2", i, 1, wire::PieceState::kRunning));
-  }
+  pieces.push_back(PieceOf("run-1", 0, 1, wire::PieceState::kRunning));
   Checkin(1, 2, kToken, 1, pieces);
   Checkin(1, 3, kToken, 15, pieces);
   roster_.Learn(ledger_);
