--- a/src/store/formats.cc
+++ b/src/store/formats.cc
@@ -62,10 +62,8 @@
                      [&](const config::Seed& s) { return MarkOf(s.node) >= kFormat; });
 }
 
-rt::Task<bool> Formats::Record(std::string key, std::string value) {
-  // Whoever comes second finds it there. Only a node's own mark of an older version is written
-  // over.
-  std::vector<wire::Guard> guards = {{key, replica_.Stamp(key)}};
+rt::Task<bool> Formats::Record(std::string key, uint64_t stamp, std::string value) {
+  std::vector<wire::Guard> guards = {{key, stamp}};
   std::vector<wire::Write> writes = {{key, value, 0}};
   auto r = co_await client_.Txn(std::move(guards), std::move(writes), Urgent::kYes);
   if (r.ok()) replica_.Apply(key, value, r.value.revision);
@@ -81,9 +79,13 @@
     const bool known = replica_.loaded();
     auto due = [&] { return !packed() && (AllMarked() || changing()); };
     if (known && !marked()) {
-      co_await Record(MarkKey(settings_.node), WriteMark());
+      // A node's own mark of an older version is written over...
+      const std::string key = MarkKey(settings_.node);
+      co_await Record(key, replica_.Stamp(key), WriteMark());
     } else if (known && due()) {
-      co_await Record(FormatKey(), WriteFormat({kFormat, CommonLayout(settings_)}));
+      // ...but the format never, not even one that can't be read here: whoever comes second finds
+      // it.
+      co_await Record(FormatKey(), 0, WriteFormat({kFormat, CommonLayout(settings_)}));
     }
     if ((packed() && marked()) || scope_.cancelled()) break;
     if (!known || !marked() || due()) {
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -167,6 +167,29 @@
   std::map<std::string, int> starts_of_;
 };
 
+// A format that this version can't read is somebody's all the same: it is never written over.
+class UnreadableFormat : public EndToEnd {
+ public:
+  rt::Task<> Script() {
+    const std::string record = R"({"format":9})";
+    co_await WriteRecord(store::FormatKey(), record);
+    StartNodes(0, 3, 3);
+    bool marked = co_await Within(5, [&] {
+      return !state_->Value(store::MarkKey("node-0")).empty() &&
+             !state_->Value(store::MarkKey("node-1")).empty() &&
+             !state_->Value(store::MarkKey("node-2")).empty();
+    });
+    EXPECT_TRUE(marked);
+    co_await Pause(5 * kReport);
+    EXPECT_EQ(state_->Value(store::FormatKey()), record);
+  }
+};
+
+TEST_F(UnreadableFormat, IsNeverWrittenOver) {
+  StartServices(3);
+  Run(Script());
+}
+
 TEST_F(UpgradeTest, BothVersionsWorkOnTheSameData) {
   StartServices(3);
   WatchWrites();
