--- a/src/app/cloud_loop.cc
+++ b/src/app/cloud_loop.cc
@@ -21,6 +21,7 @@
 constexpr size_t kReturnsPerCall = 100;
 // Who hears too few workers leaves the lead to another for this part of their lease.
 constexpr double kResignRatio = 1.0;
+// A page of the list of machines has 500 of them at the most, however large the fleet.
 constexpr size_t kMaxCloudBody = size_t{1024} * 1024;
 
 }  // namespace
@@ -172,6 +173,12 @@
   changed_();
 }
 
+bool CloudLoop::JustResumed(double now, double resumed_at) const {
+  // A process that was paused has heard nobody, whoever reported: in an outage, when nobody can
+  // take the lead, giving it up would end every running task.
+  return now - resumed_at < deps_.operators->silent_ratio * deps_.settings->report_s;
+}
+
 rt::Task<> CloudLoop::Run(rt::Scope& term) {
   const double per_call = 1 / (kListShare * deps_.settings->cloud_rps);
   double list_at = 0;
@@ -189,7 +196,7 @@
     if (term.cancelled()) break;
     const double now = term.loop().Now();
     const bool heard = renter_.Review(roster_, *deps_.ledger, context_, !wants_.empty(), now);
-    if (!heard) {
+    if (!heard && !JustResumed(now, term.loop().resumed_at())) {
       deps_.leadership->Resign(kResignRatio * deps_.settings->lease_s, "most workers are silent");
       break;
     }
--- a/src/app/cloud_loop.h
+++ b/src/app/cloud_loop.h
@@ -31,6 +31,8 @@
   rt::Task<bool> List(rt::Scope& term);
   rt::Task<> Rent(rt::Scope& term);
   rt::Task<> Return(rt::Scope& term);
+  // True while silence says more of a pause of this process than of the workers.
+  bool JustResumed(double now, double resumed_at) const;
 
   LeaderDeps deps_;
   fleet::Roster& roster_;
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -61,7 +61,9 @@
   // A worker that says nothing for as long has lost its lease; users ask far more often.
   limits.idle_s = s.lease_s;
   limits.request_s = limits.quiet_s = s.report_s * 3;
-  limits.shares = {{[](const wire::HttpRequest& r) { return r.path() == kCheckin; }, workers},
+  limits.shares = {{.takes = [](const wire::HttpRequest& r) { return r.path() == kCheckin; },
+                    .most = workers,
+                    .periodic = true},
                    {[](const wire::HttpRequest& r) { return r.path() != kReady; }, users}};
   return limits;
 }
--- a/src/app/leader_loop.cc
+++ b/src/app/leader_loop.cc
@@ -24,6 +24,9 @@
 // takes two of them, its placement and its end.
 constexpr double kRetryWriteShare = 0.1;
 constexpr double kWritesPerRetry = 2;
+// Machines that one request to the cloud may return.
+constexpr double kMachinesPerReturn = 100;
+// A worker's report lists what its machine holds, which does not grow with the fleet.
 constexpr size_t kMaxWorkerBody = size_t{256} * 1024;
 
 // What a refusal for size depends on: not on the times that are in final records.
@@ -40,7 +43,8 @@
     : deps_(std::move(deps)),
       roster_({deps_.settings->report_s, deps_.settings->lease_s, deps_.settings->list_lag_s,
                deps_.operators->silent_ratio,
-               kRetryWriteShare * deps_.settings->least().write_rps / kWritesPerRetry}),
+               kRetryWriteShare * deps_.settings->least().write_rps / kWritesPerRetry,
+               kMachinesPerReturn * deps_.settings->cloud_rps}),
       max_sends_(
           std::max<size_t>(1, static_cast<size_t>(kCommandSockets * deps_.settings->max_sockets))),
       workers_(1, kMaxWorkerBody, max_sends_),
@@ -99,7 +103,7 @@
   fleet::Machine* m = roster_.Find(report.machine);
   std::vector<wire::Order> orders;
   const bool newest = m->session == report.session && m->sequence == report.sequence;
-  if (newest && CaughtUp()) orders = roster_.Orders(*m, *deps_.ledger, false);
+  if (newest) orders = OrdersFor(*m, false);
   // Counted before the answer goes out: the lease may be renewed from here on.
   roster_.OnAnswered(report, orders, now);
   return {.status = 200, .body = wire::WriteCheckinAnswer(roster_.token(), orders)};
@@ -110,6 +114,13 @@
          deps_.replica->complete_at() >= term_->loop().resumed_at();
 }
 
+std::vector<wire::Order> LeaderLoop::OrdersFor(fleet::Machine& machine, bool direct) {
+  if (CaughtUp()) return roster_.Orders(machine, *deps_.ledger, direct);
+  // After a pause in an outage, leases are renewed on the word of the other nodes while the copy
+  // can't be confirmed: a cancellation that they hand over would never be carried out.
+  return fleet::Roster::CancellationOrders(machine, *deps_.ledger);
+}
+
 rt::Task<> LeaderLoop::RoundLoop(rt::Scope& term) {
   while (!term.cancelled()) {
     const double least = kRoundGap * config::ReactionS(*deps_.settings, *deps_.operators);
@@ -346,12 +357,13 @@
     // Who did not answer the last one hears the next in the answer to its report: hanging machines
     // would else hold the connections that others wait for.
     if (m == nullptr || m->endpoint.empty() || !m->reported() || m->unreachable ||
-        !deps_.leadership->Entitled() || !CaughtUp()) {
+        !deps_.leadership->Entitled()) {
       break;
     }
     const uint64_t token = roster_.token();
-    auto orders = roster_.Orders(*m, *deps_.ledger, true);
-    if (orders.empty() && m->token == token) break;  // its report has fetched them meanwhile
+    auto orders = OrdersFor(*m, true);
+    // Its report has fetched them meanwhile, or they have to wait for the copy.
+    if (orders.empty() && (m->token == token || !CaughtUp())) break;
     wire::HttpRequest q{.method = "POST",
                         .target = "/commands",
                         .body = wire::WriteCommands(token, m->session, orders)};
--- a/src/app/leader_loop.h
+++ b/src/app/leader_loop.h
@@ -34,6 +34,8 @@
   // After a pause of the process it must be complete anew: a task may have been cancelled
   // meanwhile.
   bool CaughtUp() const;
+  // What a machine is to be told, as far as the copy of the records allows it now.
+  std::vector<wire::Order> OrdersFor(fleet::Machine& machine, bool direct);
   rt::Task<> RoundLoop(rt::Scope& term);
   rt::Task<> Round(rt::Scope& term);
   // What does not get written is decided anew: the records say what comes next.
--- a/src/fleet/roster.cc
+++ b/src/fleet/roster.cc
@@ -15,8 +15,12 @@
 // That takes so many tasks, of jobs with so many ends; each moves the estimate by this part.
 constexpr uint32_t kSamples = 3;
 constexpr double kLearn = 0.4;
-// Machines remembered as gone, so that late lists and reports don't bring them back.
+// Machines remembered as gone, so that late lists and reports don't bring them back: at least so
+// many...
 constexpr size_t kGoneKept = 5000;
+// ...and all that can be returned while a list may still name them (lists are late by up to twice
+// the usual lag) or a report of theirs may be under way.
+constexpr double kListLags = 2;
 // Images that machines are remembered to have.
 constexpr size_t kImagesKept = 2000;
 // Our answers to a machine count as lost once so many answers in a row had no effect...
@@ -42,9 +46,15 @@
           .retries_per_s = options.retries_per_s};
 }
 
+size_t GoneKept(const Roster::Options& options) {
+  const double remembered_s = kListLags * options.list_lag_s + options.lease_s;
+  return std::max(kGoneKept, static_cast<size_t>(options.returns_per_s * remembered_s));
+}
+
 }  // namespace
 
-Roster::Roster(Options options) : options_(options), failures_(FailureOptions(options)) {}
+Roster::Roster(Options options)
+    : options_(options), gone_kept_(GoneKept(options)), failures_(FailureOptions(options)) {}
 
 void Roster::BeginTerm(uint64_t token, double now, double others_until) {
   token_ = term_token_ = token;
@@ -295,7 +305,7 @@
   failures_.ForgetMachine(machine);
   gone_.insert(machine);
   // Names grow with time: the oldest are the last that could still be heard of.
-  if (gone_.size() > kGoneKept) gone_.erase(gone_.begin());
+  if (gone_.size() > gone_kept_) gone_.erase(gone_.begin());
 }
 
 void Roster::Return(Machine& m, const std::string& why) {
@@ -393,6 +403,17 @@
   return out;
 }
 
+std::vector<wire::Order> Roster::CancellationOrders(const Machine& m, const jobs::Ledger& ledger) {
+  std::vector<wire::Order> out;
+  for (const auto& [task, held] : m.held) {
+    if (held.state == wire::TaskPhase::kExited) continue;
+    const jobs::Job* job = ledger.Find(task.job);
+    if (job == nullptr || !job->cancelled) continue;
+    out.push_back({wire::Verb::kStop, task, held.attempt, 0});
+  }
+  return out;
+}
+
 void Roster::FinishDirect(const std::string& machine, const std::vector<wire::Order>& orders,
                           uint64_t token, bool answered) {
   Machine* m = Find(machine);
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -107,6 +107,8 @@
     double silent_ratio = 0;
     // Retries of jobs that fail everywhere, a second.
     double retries_per_s = 1;
+    // Machines that the cloud takes back a second, at the most.
+    double returns_per_s = 0;
   };
   explicit Roster(Options options);
 
@@ -135,6 +137,9 @@
   // What the answer to a report, or a direct command, should say. Start orders that go out are
   // noted as sent; FinishDirect() must follow each direct command.
   std::vector<wire::Order> Orders(Machine& m, const jobs::Ledger& ledger, bool direct);
+  // The stops among these that hold whatever has been recorded since: of tasks whose job is known to
+  // be cancelled, since a cancellation is never taken back.
+  static std::vector<wire::Order> CancellationOrders(const Machine& m, const jobs::Ledger& ledger);
   void FinishDirect(const std::string& machine, const std::vector<wire::Order>& orders,
                     uint64_t token, bool answered);
   // True if a lost start order stands in the way of a stop or a cancellation: only a higher token
@@ -207,6 +212,7 @@
     double grace_s;
   };
   std::map<wire::TaskId, StopRequest> stops_;
+  const size_t gone_kept_;
   std::set<std::string> gone_;  // confirmed returns of this term
   FailureTracker failures_;
   BootTimes boot_times_;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -24,6 +24,7 @@
   Stream stream;
   double heard = 0;                           // of its last request, or when it came
   bool busy = false;                          // a request of it is under way
+  bool last_request = false;                  // there is no room to keep it open
   bool listed = false;                        // in by_silence_, and counted in its share
   std::optional<size_t> share;                // nothing before its first request
   std::list<Connection*>::iterator position;  // in by_silence_
@@ -58,7 +59,8 @@
     if (c.share == i) return true;
     if (connections() > limits_.max_connections && !MakeRoom() &&
         used_[i] >= limits_.shares[i].most) {
-      return false;
+      c.last_request = true;
+      return limits_.shares[i].periodic;
     }
     if (c.share) --used_[*c.share];
     c.share = i;
@@ -129,7 +131,7 @@
         response.retry_after_s = 1;
         response.keep_alive = false;
       }
-      response.keep_alive = response.keep_alive && keep;
+      response.keep_alive = response.keep_alive && keep && !c.last_request;
     }
     open = response.keep_alive;
     const std::string bytes = wire::Serialize(response);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -19,6 +19,9 @@
   struct Share {
     std::function<bool(const wire::HttpRequest&)> takes;
     size_t most;
+    // Who asks at long intervals needs no connection in between: where there is no room to keep
+    // one, the request is answered and the connection closed.
+    bool periodic = false;
   };
   struct Limits {
     size_t max_connections;
@@ -43,7 +46,7 @@
   struct Connection;
   rt::Task<> AcceptLoop(Listener listener);
   rt::Task<> Serve(Stream stream);
-  // False if its share has no room left.
+  // False if its share has no room left, not even for one request.
   bool Admit(Connection& c, const wire::HttpRequest& request);
   // Ends the connection that has been silent for longest among those that must give way; false if
   // there is none.
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -71,7 +71,7 @@
     }
     s.cloud = At(21);
     s.report_s = kReport;
-    s.lease_s = 3;
+    s.lease_s = lease_s_;
     if (cancel_s_) s.cancel_s = *cancel_s_;
     s.list_lag_s = 0.1;
     s.cloud_rps = 50;
@@ -98,7 +98,7 @@
       options.nodes.push_back("node-" + std::to_string(i));
     }
     options.report_s = kReport;
-    options.lease_s = 3;
+    options.lease_s = lease_s_;
     options.run_s = run_s_;
     options.first_port = base_ + 30;
     state_ = std::make_unique<standins::State>(scope_);
@@ -242,6 +242,7 @@
   std::optional<config::StateLimits> state_next_;
   int apart_ = -1;
   int refused_ = -1;  // the node that Cut() takes the state service from, and nothing else
+  double lease_s_ = 3;
   std::optional<double> cancel_s_;
 };
 
--- a/tests/lone_refusal_test.cc
+++ b/tests/lone_refusal_test.cc
@@ -1,5 +1,8 @@
 // The gap on whole nodes: the state service refuses the leader alone, another node confirms a
 // cancellation, and then the service is out for everybody, for longer than cancel_s.
+#include <chrono>
+#include <thread>
+
 #include "end_to_end.h"
 
 namespace hallpier {
@@ -7,7 +10,8 @@
 
 using namespace testing_support;
 
-constexpr double kCancelS = 5;  // the workers' lease is 3 s
+constexpr double kCancelS = 5;   // the workers' lease is 3 s
+constexpr double kPauseS = 2.3;  // Leadership::MaxUnverifiedS is 2.03 s
 
 class GapTest : public EndToEnd {
  public:
@@ -87,6 +91,26 @@
     state_->Cut(false);
   }
 
+  // The whole machine stands still in the outage, for long enough to be a pause. What node 1 then
+  // hands over must be carried out although no copy can be confirmed.
+  rt::Task<> HandedOverAfterAPause() {
+    co_await Prepare();
+    state_->SetWatchLag(10);
+    state_->Cut(true);
+    co_await CancelledByAnother();
+    bool ok = co_await Until(1, "GET", "/submissions/run-1", "", 200, "cancelled", 2);
+    EXPECT_TRUE(ok);
+    state_->SetOutage(true);
+    std::this_thread::sleep_for(std::chrono::duration<double>(kPauseS));
+    co_await Pause(told_ + *cancel_s_ - loop_.Now());
+    EXPECT_EQ(cloud_->Running("run-1"), 0);
+    EXPECT_EQ(cloud_->Running("run-2"), 6) << "and nothing else is stopped";
+    EXPECT_EQ(cloud_->starts(), 12);
+    state_->SetWatchLag(0);
+    state_->SetOutage(false);
+    state_->Cut(false);
+  }
+
   // Whoever told it has ended; its node is back at once and sees the outage like all others, but
   // does not know what it told before.
   rt::Task<> Forgot() {
@@ -134,6 +158,23 @@
   EXPECT_EQ(cloud_->started_twice(), 0);
 }
 
+// Guards against: a leader that was paused renews leases on the word of the others, and holds back
+// the stops of what they hand over until its copy is confirmed (ran_cancelled).
+class PauseInOutageTest : public GapTest {
+ public:
+  PauseInOutageTest() {
+    // Workers must outlive the pause, and two tries at nodes that can't answer yet.
+    lease_s_ = 8;
+    cancel_s_ = 11;
+  }
+};
+
+TEST_F(PauseInOutageTest, WhatIsHandedOverIsStoppedBeforeTheCopyIsConfirmed) {
+  Start(3);
+  Run(HandedOverAfterAPause());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
 TEST_F(GapTest, ALeaderThatNobodyVouchesForFallsSilentInTime) {
   Start(3);
   Run(Forgot());
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -130,6 +130,45 @@
 
 TEST_F(CrowdOfOneKind, DoesNotKeepTheOtherOut) { Run(Script()); }
 
+// Where a fleet has more machines than its controllers have sockets, every report is answered all
+// the same: who comes beyond the room gets its answer and no connection to keep.
+class CrowdOfWorkers : public NetTest {
+ public:
+  static constexpr int kRoom = 4, kWorkers = 12;
+  rt::Task<> Script() {
+    net::HttpServer::Limits limits{kRoom, 1024, 30, 5, kNeverQuiet};
+    limits.shares = {{.takes = [](const wire::HttpRequest& /*unused*/) { return true; },
+                      .most = kRoom,
+                      .periodic = true}};
+    server_.emplace(scope_, limits, [this](wire::HttpRequest /*unused*/) { return Answer(); });
+    std::string error;
+    EXPECT_TRUE(server_->Listen(At(0), &error)) << error;
+    std::vector<std::unique_ptr<net::HttpClient>> workers;
+    for (int i = 0; i < kWorkers; ++i) {
+      workers.push_back(std::make_unique<net::HttpClient>(1, 1024));
+    }
+    for (int period = 0; period < 3; ++period) {
+      for (auto& worker : workers) {
+        wire::HttpRequest q{.method = "POST", .target = "/checkin", .body = "{}"};
+        auto r = co_await worker->Call(scope_, At(0), std::move(q), 1, false);
+        EXPECT_TRUE(r && r->status == 200);
+        EXPECT_LE(server_->connections(), kRoom + 1U);
+      }
+    }
+    EXPECT_EQ(handled_, 3 * kWorkers);
+  }
+
+ private:
+  rt::Task<wire::HttpResponse> Answer() {
+    ++handled_;
+    co_return wire::HttpResponse{.status = 200, .body = "{}"};
+  }
+  std::optional<net::HttpServer> server_;
+  int handled_ = 0;
+};
+
+TEST_F(CrowdOfWorkers, IsAnsweredBeyondTheSocketsThereAre) { Run(Script()); }
+
 // Machines that die never close their connections; these must not keep others out for long.
 class DeadConnections : public ShareTest {
  public:
