Membership of the controllers: suspicion, confirmation, one verdict, handover; off by default

Change: src/membership/ holds a pure table of members (probes with an adaptive threshold, what other observers say, local health, records with incarnations on the state service), a damped policy by which a useless leader yields, and the routine that carries both. Each step is a transaction guarded by the records of the subject and of the writer. Leadership takes hooks: who is not in good standing can't take the lead. An orderly end hands over at once. Off, a node writes the mark, the frames and the records that it wrote before. Leadership::Run, Hold, the peer links and the parser of the operators' file were split by duty.

Ruled out: phi accrual over windows (needs many samples after each restart), plain time-outs (a busy small core answers late), indirect probes on request (with few controllers every node probes every other one anyway, and says in each message when it last heard the rest).

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -51,6 +51,11 @@
   return out;
 }
 
+// What this node records that it understands (store::Formats).
+uint64_t MarkOf(const config::Operator& operators) {
+  return operators.membership.enabled ? store::kMembershipFormat : store::kCancellationReportFormat;
+}
+
 // Neither a crowd of users nor one of workers keeps the other, or the health checks, from a node.
 net::HttpServer::Limits ServerLimits(const config::Settings& s) {
   const auto workers = static_cast<size_t>(s.max_sockets * kWorkerSockets);
@@ -79,7 +84,7 @@
       client_(root_, StateOptions(settings_)),
       replica_(root_, client_, settings_.report_s,
                [this](const std::string& key, const std::string& value) { OnState(key, value); }),
-      formats_(root_, settings_, client_, replica_),
+      formats_(root_, settings_, client_, replica_, MarkOf(operators_)),
       finals_(root_, client_, replica_, ledger_, [this] { leader_loop_.OnChange(); }),
       leadership_(root_, settings_, operators_, client_, replica_,
                   [this](rt::Scope& term) { leader_loop_.Begin(term); }),
@@ -102,6 +107,25 @@
   client_.SetRelay([this](wire::HttpRequest r) { return peers_.Relay(std::move(r)); });
   leadership_.SetOutageConfirmed([this] { return peers_.AllConfirmOutage(); });
   leadership_.SetMayRenew([this] { return MayRenew(); });
+  if (operators_.membership.enabled) SetUpMembership();
+}
+
+void Controller::SetUpMembership() {
+  membership::Service::Dependencies d;
+  d.settings = &settings_;
+  d.options = &operators_.membership;
+  d.client = &client_;
+  d.replica = &replica_;
+  d.leadership = &leadership_;
+  d.send = [this](const std::string& node, const wire::PeerMessage& message) {
+    peers_.Send(node, message);
+  };
+  d.understands = [this](const std::string& node) { return formats_.UnderstandsMembership(node); };
+  d.machines = [this] { return leader_loop_.ReportingMachines(); };
+  membership_ = std::make_unique<membership::Service>(root_, std::move(d));
+  leadership_.SetTakeHooks({.allowed = [this] { return membership_->MayLead(); },
+                            .guards = [this] { return membership_->LeadGuards(); },
+                            .delay_s = [this] { return membership_->TakeDelayS(); }});
 }
 
 net::PeerMesh::Hooks Controller::PeerHooks() {
@@ -109,28 +133,48 @@
   h.status = [this] { return Status(); };
   h.execute = [this](wire::HttpRequest r) { return client_.Direct(std::move(r)); };
   h.on_status = [this](const wire::PeerStatus& s) { leadership_.Superseded(s.token); };
-  h.on_refused = [this](const std::string& node) { leadership_.Suspect(node); };
-  h.understands_cancellation_reports = [this](const std::string& node) {
+  h.on_refused = [this](const std::string& node) {
+    leadership_.Suspect(node);
+    if (membership_) membership_->OnRefused(node);
+  };
+  AddCancellationHooks(&h);
+  if (operators_.membership.enabled) AddMembershipHooks(&h);
+  return h;
+}
+
+void Controller::AddMembershipHooks(net::PeerMesh::Hooks* hooks) {
+  hooks->on_link = [this](const std::string& node, bool up) { membership_->OnLink(node, up); };
+  hooks->on_status_answered = [this](const std::string& node, double asked) {
+    membership_->OnStatusAnswered(node, asked);
+  };
+  hooks->on_member_probe = [this](const wire::MemberProbe& p) { return membership_->OnProbe(p); };
+  hooks->on_member_answer = [this](const std::string& node, const wire::MemberAnswer& a) {
+    membership_->OnAnswer(node, a);
+  };
+  hooks->members_report = [this] { return membership_->Report(); };
+}
+
+void Controller::AddCancellationHooks(net::PeerMesh::Hooks* hooks) {
+  hooks->understands_cancellation_reports = [this](const std::string& node) {
     return formats_.UnderstandsCancellationReports(node);
   };
-  h.cancellation_report_request =
+  hooks->cancellation_report_request =
       [this](const std::string& node) -> std::optional<wire::CancellationReportRequest> {
     watermark_.OnComplete(replica_.complete_at());
     const bool apart = client_.down() || watermark_.Stale(root_.loop().Now());
     if (!leadership_.leading() || !apart) return std::nullopt;
     return watermark_.RequestFor(node, replica_.revision());
   };
-  h.cancellation_report = [this](const wire::CancellationReportRequest& q) {
+  hooks->cancellation_report = [this](const wire::CancellationReportRequest& q) {
     return CancellationReport(q);
   };
-  h.on_cancellation_report = [this](const std::string& node, double asked,
-                                    const wire::CancellationReport& v) {
+  hooks->on_cancellation_report = [this](const std::string& node, double asked,
+                                         const wire::CancellationReport& v) {
     // Their tasks are told to stop before the word of this node counts.
     for (const wire::Cancellation& c : v.cancelled) OnCancelled(c);
     watermark_.OnCancellationReport(node, asked, v);
   };
-  h.on_cancelled = [this](const wire::CancelNotice& n) { OnCancelled(n.cancelled); };
-  return h;
+  hooks->on_cancelled = [this](const wire::CancelNotice& n) { OnCancelled(n.cancelled); };
 }
 
 wire::CancellationReport Controller::CancellationReport(
@@ -187,6 +231,7 @@
   root_.Spawn(formats_.Run());
   root_.Spawn(finals_.Run());
   root_.Spawn(leadership_.Run());
+  if (membership_) root_.Spawn(membership_->Run());
   root_.Spawn(ConfirmCopyAfterPauses());
   spdlog::info("{} listens on {}", settings_.node, settings_.listen);
   return true;
@@ -197,17 +242,35 @@
   done();
 }
 
-void Controller::Shutdown(std::function<void()> done) {
-  if (root_.cancelled()) return;
+rt::Task<> Controller::LeaveInOrder(std::function<void()> done) {
+  co_await membership_->Leave();
+  CancelAndDrain(std::move(done));
+}
+
+void Controller::CancelAndDrain(std::function<void()> done) {
   root_.Cancel();
   ending_.Spawn(Drain(std::move(done)));
 }
 
+void Controller::Shutdown(std::function<void()> done) {
+  if (root_.cancelled() || leaving_) return;
+  leaving_ = true;
+  if (membership_) {
+    ending_.Spawn(LeaveInOrder(std::move(done)));
+  } else {
+    CancelAndDrain(std::move(done));
+  }
+}
+
 void Controller::OnState(const std::string& key, const std::string& value) {
   const store::ParsedKey parsed = store::ParseKey(key);
   switch (parsed.kind) {
     case store::KeyKind::kLeader:
       leadership_.OnRecord(value);
+      if (membership_) membership_->OnLeaderRecord();
+      break;
+    case store::KeyKind::kMember:
+      if (membership_) membership_->OnRecord(parsed.job, value);
       break;
     case store::KeyKind::kFlavors:
       flavor_pages_.Put(parsed.shard, value);
@@ -240,6 +303,7 @@
 }
 
 wire::HttpResponse Controller::Checkin(const std::string& body) {
+  if (membership_) membership_->OnWorkerReport();
   if (!leadership_.leading()) {
     const std::string leader = leadership_.leader();
     if (leader.empty() || leader == settings_.node) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "api/user_api.h"
@@ -10,6 +11,7 @@
 #include "config/settings.h"
 #include "lead/cancellation_watermark.h"
 #include "lead/leadership.h"
+#include "membership/service.h"
 #include "net/http_server.h"
 #include "net/peer_mesh.h"
 #include "rt/loop.h"
@@ -37,6 +39,10 @@
   wire::HttpResponse Checkin(const std::string& body);
   wire::PeerStatus Status() const;
   net::PeerMesh::Hooks PeerHooks();
+  void AddCancellationHooks(net::PeerMesh::Hooks* hooks);
+  void AddMembershipHooks(net::PeerMesh::Hooks* hooks);
+  // Creates the membership's routine; it is off unless the operators' settings say otherwise.
+  void SetUpMembership();
   // What this node hands over to a leader that the state service does not answer.
   wire::CancellationReport CancellationReport(const wire::CancellationReportRequest& request) const;
   // A cancellation that was recorded by way of another node, ahead of the watch.
@@ -45,11 +51,14 @@
   bool Ready() const;
   void OnState(const std::string& key, const std::string& value);
   rt::Task<> Drain(std::function<void()> done);
+  rt::Task<> LeaveInOrder(std::function<void()> done);
+  void CancelAndDrain(std::function<void()> done);
 
   const config::Settings settings_;
   const config::Operator operators_;
   rt::Scope root_;
   rt::Scope ending_;
+  bool leaving_ = false;
   jobs::Ledger ledger_;
   store::FlavorPages flavor_pages_;
   std::vector<wire::Flavor> flavors_;
@@ -59,6 +68,7 @@
   AwaitedFinals finals_;
   lead::Leadership leadership_;
   lead::CancellationWatermark watermark_;
+  std::unique_ptr<membership::Service> membership_;  // null: it is off
   LeaderLoop leader_loop_;
   store::Barrier barrier_;
   api::UserApi users_;
--- a/src/app/leader_loop.cc
+++ b/src/app/leader_loop.cc
@@ -90,6 +90,13 @@
   work_.Notify();
 }
 
+size_t LeaderLoop::ReportingMachines() const {
+  const auto& machines = roster_.all();
+  return static_cast<size_t>(std::count_if(machines.begin(), machines.end(), [](const auto& entry) {
+    return entry.second.reported() && !entry.second.returning;
+  }));
+}
+
 wire::HttpResponse LeaderLoop::OnCheckin(const wire::Report& report) {
   if (report.token > roster_.token()) {
     deps_.leadership->Superseded(report.token);
--- a/src/app/leader_loop.h
+++ b/src/app/leader_loop.h
@@ -25,6 +25,8 @@
   void OnJobChanged(const std::string& id);
   // Something came that a round should look at: room, or the end of an awaited job.
   void OnChange();
+  // Machines that are up and should report here.
+  size_t ReportingMachines() const;
   // A worker's report, and what it is to be told.
   wire::HttpResponse OnCheckin(const wire::Report& report);
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -234,14 +234,44 @@
   return ParseSettings(*text, faults);
 }
 
+namespace {
+
+// A number of the operators' file, with the range that it must lie in.
+struct OperatorField {
+  const char* name;
+  double* into;
+  double least, most;
+};
+
+std::vector<cfg_opt_t> OptionsOf(const std::vector<OperatorField>& fields) {
+  std::vector<cfg_opt_t> options;
+  for (const OperatorField& field : fields) {
+    options.push_back(CFG_FLOAT(field.name, *field.into, CFGF_NONE));
+  }
+  return options;
+}
+
+// One line per fault, with `where` before the name.
+void TakeFields(cfg_t* section, const std::string& where, const std::vector<OperatorField>& fields,
+                std::vector<std::string>* faults) {
+  for (const OperatorField& field : fields) {
+    const double number = cfg_getfloat(section, field.name);
+    if (!(number >= field.least) || !(number <= field.most)) {
+      std::ostringstream what;
+      what << where << field.name << ": " << number << " is not between " << field.least << " and "
+           << field.most;
+      faults->push_back(what.str());
+      continue;
+    }
+    *field.into = number;
+  }
+}
+
+}  // namespace
+
 Operator ParseOperator(const std::string& text, std::vector<std::string>* faults) {
   Operator out;
-  struct Field {
-    const char* name;
-    double* into;
-    double least, most;
-  };
-  const Field fields[] = {
+  const std::vector<OperatorField> fields = {
       {"round_s", &out.round_s, 0.1, 60},
       {"leader_ttl_ratio", &out.leader_ttl_ratio, 0.3, 20},
       {"blind_ratio", &out.blind_ratio, 0.05, 2},
@@ -253,8 +283,17 @@
       {"starve_share", &out.starve_share, 0, 1},
       {"urgent_reserve", &out.urgent_reserve, 0, 0.9},
   };
-  std::vector<cfg_opt_t> options;
-  for (const Field& f : fields) options.push_back(CFG_FLOAT(f.name, *f.into, CFGF_NONE));
+  const std::vector<OperatorField> membership_fields = {
+      {"probe_ratio", &out.membership.probe_ratio, 0.01, 1},
+      {"missed_probes", &out.membership.missed_probes, 2, 100},
+      {"confirm_probes", &out.membership.confirm_probes, 1, 100},
+      {"yield_leases", &out.membership.yield_leases, 0.1, 100},
+  };
+  std::vector<cfg_opt_t> membership_options = OptionsOf(membership_fields);
+  membership_options.push_back(CFG_BOOL("enabled", cfg_false, CFGF_NONE));
+  membership_options.push_back(CFG_END());
+  std::vector<cfg_opt_t> options = OptionsOf(fields);
+  options.push_back(CFG_SEC("membership", membership_options.data(), CFGF_NONE));
   options.push_back(CFG_END());
   std::unique_ptr<cfg_t, decltype(&cfg_free)> cfg(cfg_init(options.data(), CFGF_NONE), &cfg_free);
   cfg_set_error_function(cfg.get(), OnOperatorError);
@@ -262,16 +301,10 @@
   const bool parsed = cfg_parse_buf(cfg.get(), text.c_str()) == CFG_SUCCESS;
   operator_faults = nullptr;
   if (!parsed) return out;
-  for (const Field& f : fields) {
-    const double number = cfg_getfloat(cfg.get(), f.name);
-    if (!(number >= f.least) || !(number <= f.most)) {
-      std::ostringstream what;
-      what << f.name << ": " << number << " is not between " << f.least << " and " << f.most;
-      faults->push_back(what.str());
-      continue;
-    }
-    *f.into = number;
-  }
+  TakeFields(cfg.get(), "", fields, faults);
+  cfg_t* membership = cfg_getsec(cfg.get(), "membership");
+  TakeFields(membership, "membership.", membership_fields, faults);
+  out.membership.enabled = cfg_getbool(membership, "enabled") == cfg_true;
   return out;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -71,6 +71,15 @@
   const Objective* FindObjective(const std::string& kind, const std::string& job_class) const;
 };
 
+// Membership of the controllers (docs/membership.md).
+struct Membership {
+  bool enabled = false;
+  double probe_ratio = 1.0 / 16;  // time between two probes / report_s
+  double missed_probes = 3;       // unanswered ones that make a node suspect
+  double confirm_probes = 3;      // a recorded suspicion stands for so many before the verdict
+  double yield_leases = 1;        // least time between two changes of the leader / lease_s
+};
+
 // Operators' own settings: ratios to the platform's figures, every one of them optional.
 struct Operator {
   double round_s = 2.0;           // time between two rounds of mapping, at first
@@ -83,6 +92,7 @@
   double starve_s = 150;         // work that has not begun by then comes first, within starve_share
   double starve_share = 0.25;    // share of all processors that work which waited so long may take
   double urgent_reserve = 0.08;  // share of all processors kept for prod and urgent work
+  Membership membership;
 };
 
 // How soon a change on a machine is known and answered: workers tell of changes between their
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -137,8 +137,8 @@
   // What the answer to a report, or a direct command, should say. Start orders that go out are
   // noted as sent; FinishDirect() must follow each direct command.
   std::vector<wire::Order> Orders(Machine& m, const jobs::Ledger& ledger, bool direct);
-  // The stops among these that hold whatever has been recorded since: of tasks whose job is known to
-  // be cancelled, since a cancellation is never taken back.
+  // The stops among these that hold whatever has been recorded since: of tasks whose job is known
+  // to be cancelled, since a cancellation is never taken back.
   static std::vector<wire::Order> CancellationOrders(const Machine& m, const jobs::Ledger& ledger);
   void FinishDirect(const std::string& machine, const std::vector<wire::Order>& orders,
                     uint64_t token, bool answered);
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -111,6 +111,9 @@
   if (!lease_id.ok()) co_return false;
   std::vector<wire::Guard> guards = {{store::LeaderKey(), 0},
                                      {store::BlockKey(0), replica_.Version(store::BlockKey(0))}};
+  if (take_hooks_.guards) {
+    for (wire::Guard& guard : take_hooks_.guards()) guards.push_back(std::move(guard));
+  }
   const std::string leader = store::WriteLeader({settings_.node, lease_id.value});
   const std::string block = store::WriteBlock(settings_.node);
   std::vector<wire::Write> writes = {{store::LeaderKey(), leader, lease_id.value},
@@ -139,30 +142,40 @@
   co_return true;
 }
 
-rt::Task<> Leadership::Hold() {
-  rt::Scope term(scope_.loop(), &scope_);
-  client_.SetLeading(true);
-  term_(term);
+rt::Task<> Leadership::Renew() {
+  const double asked = scope_.loop().Now();
+  const bool relay = asked - last_renewed_directly_ < kRelayedRatio * settings_.lease_s;
+  const auto route = relay ? store::Client::Route::kAny : store::Client::Route::kDirect;
+  auto r = co_await client_.Extend(lease_id_, route);
+  doubted_ = !r.ok();
+  if (r.ok()) {
+    last_renewed_ = asked;
+    if (!client_.down()) last_renewed_directly_ = asked;
+  } else if (r.status == store::Status::kNotFound || r.status == store::Status::kInvalid) {
+    spdlog::warn("leadership: the lease has ended");
+    lost_ = true;
+  }
+}
+
+rt::Task<> Leadership::RenewUntilLost() {
   while (!scope_.cancelled() && !lost_) {
     const bool paused = scope_.loop().resumed_at() > last_renewed_;
     auto pause = wake_.Await(scope_, paused && !doubted_ ? 0 : ttl() / kRenewals);
     co_await pause;
     if (scope_.cancelled() || lost_) break;
-    const double asked = scope_.loop().Now();
-    if (!paused && asked - last_renewed_ < ttl() / kRenewals * 0.9) continue;
-    const bool relay = asked - last_renewed_directly_ < kRelayedRatio * settings_.lease_s;
-    const auto route = relay ? store::Client::Route::kAny : store::Client::Route::kDirect;
-    auto r = co_await client_.Extend(lease_id_, route);
-    doubted_ = !r.ok();
-    if (r.ok()) {
-      last_renewed_ = asked;
-      if (!client_.down()) last_renewed_directly_ = asked;
-    } else if (r.status == store::Status::kNotFound || r.status == store::Status::kInvalid) {
-      spdlog::warn("leadership: the lease has ended");
-      lost_ = true;
-    }
+    const double since = scope_.loop().Now() - last_renewed_;
+    if (!paused && since < ttl() / kRenewals * 0.9) continue;
+    co_await Renew();
   }
   lost_ = true;
+}
+
+rt::Task<> Leadership::Hold() {
+  rt::Scope term(scope_.loop(), &scope_);
+  holding_ = true;
+  client_.SetLeading(true);
+  term_(term);
+  co_await RenewUntilLost();
   term.Cancel();
   co_await term.Join();
   client_.SetLeading(false);
@@ -171,6 +184,7 @@
   spdlog::info("leadership: term is over");
   auto ended = co_await client_.End(lease_id);
   (void)ended;
+  holding_ = false;
 }
 
 rt::Task<> Leadership::AwaitRecordGone(uint64_t lease_id, bool ended) {
@@ -180,41 +194,62 @@
   co_await pause;
 }
 
+std::optional<uint64_t> Leadership::ForgottenLease() const {
+  if (!record_) return std::nullopt;
+  // Left by the process that ran here before, or by a transaction of ours that got no answer. One
+  // process runs per node: nobody else acts under this record.
+  const bool own = record_->node == settings_.node;
+  if (!own && record_->lease_id != suspected_lease_id_) return std::nullopt;
+  return record_->lease_id;
+}
+
+rt::Task<> Leadership::EndForgotten(uint64_t lease_id) {
+  auto ended = co_await client_.End(lease_id);
+  co_await AwaitRecordGone(lease_id, ended.ok());
+}
+
+rt::Task<bool> Leadership::AwaitChance() {
+  const double now = scope_.loop().Now();
+  if (record_ || now < not_before_) {
+    auto pause = wake_.Await(scope_, record_ ? ttl() : not_before_ - now);
+    co_await pause;
+    co_return false;
+  }
+  if (take_hooks_.allowed && !take_hooks_.allowed()) {
+    auto pause = wake_.Await(scope_, ttl() / kRenewals);
+    co_await pause;
+    co_return false;
+  }
+  const double delay_s = take_hooks_.delay_s ? take_hooks_.delay_s() : 0;
+  if (delay_s <= 0) co_return true;
+  auto pause = wake_.Await(scope_, delay_s);
+  co_await pause;
+  co_return !record_ && !scope_.cancelled();
+}
+
+rt::Task<> Leadership::TryToLead() {
+  bool got = co_await Acquire();
+  if (got) {
+    co_await Hold();
+    co_return;
+  }
+  rt::Sleep pause(scope_, ttl() / kRenewals * retry_jitter_(random_));
+  co_await pause;
+}
+
 rt::Task<> Leadership::Run() {
-  std::uniform_real_distribution<double> jitter(0.5, 1.0);
   while (!scope_.cancelled()) {
-    const double now = scope_.loop().Now();
     if (!replica_.loaded()) {
       auto pause = replica_.changed().Await(scope_, ttl());
       co_await pause;
       continue;
     }
-    if (record_ && record_->node == settings_.node) {
-      // Left by the process that ran here before, or by a transaction of ours that got no answer.
-      // One process runs per node: nobody else acts under this record.
-      const uint64_t lease_id = record_->lease_id;
-      auto ended = co_await client_.End(lease_id);
-      co_await AwaitRecordGone(lease_id, ended.ok());
-      continue;
-    }
-    if (record_ && record_->lease_id == suspected_lease_id_) {
-      const uint64_t lease_id = suspected_lease_id_;
-      auto ended = co_await client_.End(lease_id);
-      co_await AwaitRecordGone(lease_id, ended.ok());
+    if (const std::optional<uint64_t> lease_id = ForgottenLease()) {
+      co_await EndForgotten(*lease_id);
       continue;
     }
-    if (record_ || now < not_before_) {
-      auto pause = wake_.Await(scope_, record_ ? ttl() : not_before_ - now);
-      co_await pause;
-      continue;
-    }
-    bool got = co_await Acquire();
-    if (got) {
-      co_await Hold();
-    } else {
-      rt::Sleep pause(scope_, ttl() / kRenewals * jitter(random_));
-      co_await pause;
-    }
+    bool chance = co_await AwaitChance();
+    if (chance) co_await TryToLead();
   }
 }
 
--- a/src/lead/leadership.h
+++ b/src/lead/leadership.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "config/settings.h"
 #include "rt/loop.h"
@@ -46,6 +47,18 @@
   void SetOutageConfirmed(std::function<bool()> f) { outage_confirmed_ = std::move(f); }
   // Says whether workers' leases may be renewed without missing a cancellation that was told.
   void SetMayRenew(std::function<bool()> f) { may_renew_ = std::move(f); }
+  // What a node's standing among the others says of its taking the lead (src/membership). Without
+  // these hooks any node may, at once.
+  struct TakeHooks {
+    std::function<bool()> allowed;
+    // Must hold when the lead is taken, in the same transaction.
+    std::function<std::vector<wire::Guard>()> guards;
+    // How long another node, that is better placed, is left to take it first.
+    std::function<double()> delay_s;
+  };
+  void SetTakeHooks(TakeHooks hooks) { take_hooks_ = std::move(hooks); }
+  // True while this node leads, or its lease has not been ended yet after that.
+  bool holding() const { return holding_; }
   // The highest token known here.
   uint64_t highest() const;
   // Gives the lead to somebody else, and does not take it again for a while.
@@ -56,7 +69,18 @@
  private:
   rt::Task<bool> Acquire();
   rt::Task<> Hold();
+  // Renews the lease until it, or the lead, is lost.
+  rt::Task<> RenewUntilLost();
+  rt::Task<> Renew();
+  // Ends a lease that nobody holds any more, and waits until its record is gone.
+  rt::Task<> EndForgotten(uint64_t lease_id);
   rt::Task<> AwaitRecordGone(uint64_t lease_id, bool ended);
+  // The lease of the present record if this node is to end it: its own former process's, or that
+  // of a node that has ended. Nothing: there is no such record.
+  std::optional<uint64_t> ForgottenLease() const;
+  // Waits while the lead is taken or must not be taken here yet. True: it may be tried now.
+  rt::Task<bool> AwaitChance();
+  rt::Task<> TryToLead();
   double ttl() const;
 
   rt::Scope& scope_;
@@ -66,6 +90,7 @@
   store::Replica& replica_;
   const Term term_;
   std::mt19937 random_{std::random_device{}()};
+  std::uniform_real_distribution<double> retry_jitter_{0.5, 1.0};
   std::optional<store::LeaderRecord> record_;
   uint64_t token_ = 0;
   uint64_t lease_id_ = 0;
@@ -76,7 +101,9 @@
   uint64_t suspected_lease_id_ = 0;
   std::function<bool()> outage_confirmed_;
   std::function<bool()> may_renew_;
+  TakeHooks take_hooks_;
   bool lost_ = false;
+  bool holding_ = false;
   bool doubted_ = false;  // a renewal has failed since the last that did not
   bool fencing_ = false;
   rt::Event wake_;
--- /dev/null
+++ b/src/membership/yield_policy.h
@@ -0,0 +1,59 @@
+// When a leader that is alive but of little use gives the lead to a node that is better placed, and
+// to which. Damped: every change of the leader in the recent past doubles the time before the next
+// one, so that the lead does not move back and forth where no node fares better. Pure.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "wire/peer.h"
+
+namespace hallpier::membership {
+
+struct Yield {
+  std::string to;
+  std::string reason;
+};
+
+class YieldPolicy {
+ public:
+  struct Options {
+    double report_s = 0;
+    double lease_s = 0;
+    // Least time between two changes of the leader, in leases.
+    double hold_leases = 1;
+    // How long a leader may go by way of other nodes to the state service, in leases.
+    double relayed_leases = 0;
+  };
+  explicit YieldPolicy(Options options) : options_(options) {}
+
+  // Some node has taken the lead, whyever.
+  void OnLeaderChanged(double now);
+  // This process was paused: what it counted before says nothing.
+  void OnPause();
+  // `own`: of this node, which leads; `machines`: those that are up and should report to it.
+  // `others`: of all nodes that answer. Something only if a reason has stood for long enough.
+  std::optional<Yield> Decide(const wire::MemberVitals& own, size_t machines,
+                              const std::map<std::string, wire::MemberVitals>& others, double now);
+
+ private:
+  enum class Reason { kStateService, kWorkers, kTurns };
+  struct Candidate {
+    Reason reason;
+    std::string node;
+  };
+  std::optional<Candidate> Find(const wire::MemberVitals& own, size_t machines,
+                                const std::map<std::string, wire::MemberVitals>& others) const;
+  double SustainS(Reason reason) const;
+  double HoldS(double now);
+  static std::string Describe(Reason reason);
+
+  const Options options_;
+  std::deque<double> changes_;  // steady times of recent changes of the leader
+  std::optional<Reason> reason_;
+  double reason_since_ = 0;
+};
+
+}  // namespace hallpier::membership
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -95,6 +95,33 @@
   }
 }
 
+void PeerMesh::Send(const std::string& node, const wire::PeerMessage& message) {
+  for (auto& p : peers_) {
+    if (p->seed.node != node || !p->connected) continue;
+    p->outbox += wire::Frame(wire::WritePeerMessage(message));
+    p->wake.Notify();
+  }
+}
+
+void PeerMesh::SetLink(Peer* peer, bool up) {
+  peer->connected = up;
+  if (up) {
+    spdlog::debug("peer {}: link up", peer->seed.node);
+    peer->outbox.clear();
+    peer->asked.clear();
+    peer->cancellation_report_asked.clear();
+  } else {
+    spdlog::info("peer {}: link down", peer->seed.node);
+    peer->broke = true;
+    peer->wake.Notify();
+    for (auto& [id, pending] : peer->pending) {
+      pending->done = true;
+      pending->event.Notify();
+    }
+  }
+  if (hooks_.on_link) hooks_.on_link(peer->seed.node, up);
+}
+
 rt::Task<> PeerMesh::DialLoop(Peer* peer) {
   auto to = ParseAddress(peer->seed.endpoint);
   while (!scope_.cancelled()) {
@@ -102,23 +129,12 @@
     std::optional<Stream> stream =
         co_await Stream::Connect(scope_, *to, scope_.loop().Now() + 4 * beat(), &error);
     if (stream) {
-      spdlog::debug("peer {}: link up", peer->seed.node);
       auto shared = std::make_shared<Stream>(std::move(*stream));
       auto open = std::make_shared<bool>(true);
-      peer->connected = true;
-      peer->outbox.clear();
-      peer->asked.clear();
-      peer->cancellation_report_asked.clear();
+      SetLink(peer, true);
       scope_.Spawn(WriteLoop(peer, shared, open));
       co_await ReadLoop(peer, shared, open);
-      peer->connected = false;
-      peer->broke = true;
-      peer->wake.Notify();
-      spdlog::info("peer {}: link down", peer->seed.node);
-      for (auto& [id, pending] : peer->pending) {
-        pending->done = true;
-        pending->event.Notify();
-      }
+      SetLink(peer, false);
       continue;
     }
     // A packet filter refuses as well, and then mostly between all nodes: only where another peer
@@ -161,39 +177,53 @@
   }
 }
 
+void PeerMesh::OnStatus(Peer* peer, const wire::PeerStatus& status) {
+  // Each ping gets one status, in order. It counts from when it was asked for: who stood still
+  // finds old ones in its buffers, and what they say is no longer so.
+  if (peer->asked.empty()) return;
+  peer->heard = peer->asked.front();
+  peer->asked.pop_front();
+  peer->status = status;
+  hooks_.on_status(status);
+  if (hooks_.on_status_answered) hooks_.on_status_answered(peer->seed.node, peer->heard);
+}
+
+bool PeerMesh::Take(Peer* peer, const std::string& payload) {
+  auto m = wire::ReadPeerMessage(payload);
+  if (!m) {
+    spdlog::warn("peer {}: a message can't be read", peer->seed.node);
+    return false;
+  }
+  if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
+    OnStatus(peer, *s);
+  } else if (auto* v = std::get_if<wire::CancellationReport>(&*m)) {
+    // Like a status, it counts from when it was asked for.
+    if (peer->cancellation_report_asked.empty()) return true;
+    const double asked = peer->cancellation_report_asked.front();
+    peer->cancellation_report_asked.pop_front();
+    hooks_.on_cancellation_report(peer->seed.node, asked, *v);
+  } else if (auto* a = std::get_if<wire::RelayAnswer>(&*m)) {
+    auto it = peer->pending.find(a->id);
+    if (it == peer->pending.end()) return true;
+    if (a->answered) it->second->answer = std::move(a->response);
+    it->second->done = true;
+    it->second->event.Notify();
+  } else if (auto* answer = std::get_if<wire::MemberAnswer>(&*m)) {
+    if (hooks_.on_member_answer) hooks_.on_member_answer(peer->seed.node, *answer);
+  }
+  return true;
+}
+
 rt::Task<> PeerMesh::ReadLoop(Peer* peer, std::shared_ptr<Stream> stream,
                               std::shared_ptr<bool> open) {
   wire::FrameBuffer frames(wire::kMaxPeerFrame);
+  bool readable = true;
   while (!scope_.cancelled() && !frames.corrupt()) {
     while (auto payload = frames.Next()) {
-      auto m = wire::ReadPeerMessage(*payload);
-      if (!m) {
-        spdlog::warn("peer {}: a message can't be read", peer->seed.node);
-        *open = false;
-        co_return;
-      }
-      if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
-        // Each ping gets one status, in order. It counts from when it was asked for: who stood
-        // still finds old ones in its buffers, and what they say is no longer so.
-        if (peer->asked.empty()) continue;
-        peer->heard = peer->asked.front();
-        peer->asked.pop_front();
-        peer->status = *s;
-        hooks_.on_status(*s);
-      } else if (auto* v = std::get_if<wire::CancellationReport>(&*m)) {
-        // Like a status, it counts from when it was asked for.
-        if (peer->cancellation_report_asked.empty()) continue;
-        const double asked = peer->cancellation_report_asked.front();
-        peer->cancellation_report_asked.pop_front();
-        hooks_.on_cancellation_report(peer->seed.node, asked, *v);
-      } else if (auto* a = std::get_if<wire::RelayAnswer>(&*m)) {
-        auto it = peer->pending.find(a->id);
-        if (it == peer->pending.end()) continue;
-        if (a->answered) it->second->answer = std::move(a->response);
-        it->second->done = true;
-        it->second->event.Notify();
-      }
+      readable = Take(peer, *payload);
+      if (!readable) break;
     }
+    if (!readable) break;
     std::string data;
     bool read = co_await stream->Read(scope_, data, scope_.loop().Now() + kDeadBeats * beat());
     if (!read) break;
@@ -214,28 +244,42 @@
   }
 }
 
+rt::Task<std::optional<std::string>> PeerMesh::Answer(std::string payload) {
+  auto m = wire::ReadPeerMessage(payload);
+  if (!m) co_return std::nullopt;
+  std::optional<wire::PeerMessage> answer;
+  if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
+    hooks_.on_status(*s);
+    answer = hooks_.status();
+  } else if (auto* v = std::get_if<wire::CancellationReportRequest>(&*m)) {
+    answer = hooks_.cancellation_report(*v);
+  } else if (auto* n = std::get_if<wire::CancelNotice>(&*m)) {
+    hooks_.on_cancelled(*n);
+  } else if (auto* q = std::get_if<wire::RelayRequest>(&*m)) {
+    wire::RelayAnswer relayed;
+    relayed.id = q->id;
+    auto r = co_await hooks_.execute(std::move(q->request));
+    relayed.answered = r.has_value();
+    if (r) relayed.response = std::move(*r);
+    answer = std::move(relayed);
+  } else if (auto* probe = std::get_if<wire::MemberProbe>(&*m)) {
+    if (hooks_.on_member_probe) answer = hooks_.on_member_probe(*probe);
+  } else if (std::holds_alternative<wire::MembersRequest>(*m)) {
+    wire::MembersReport off;
+    off.node = settings_.node;
+    answer = hooks_.members_report ? hooks_.members_report() : std::move(off);
+  }
+  co_return answer ? wire::Frame(wire::WritePeerMessage(*answer)) : std::string();
+}
+
 rt::Task<> PeerMesh::Serve(Stream stream) {
   wire::FrameBuffer frames(wire::kMaxPeerFrame);
   while (!scope_.cancelled() && !frames.corrupt()) {
     std::string out;
     while (auto payload = frames.Next()) {
-      auto m = wire::ReadPeerMessage(*payload);
-      if (!m) co_return;
-      if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
-        hooks_.on_status(*s);
-        out += wire::Frame(wire::WritePeerMessage(hooks_.status()));
-      } else if (auto* v = std::get_if<wire::CancellationReportRequest>(&*m)) {
-        out += wire::Frame(wire::WritePeerMessage(hooks_.cancellation_report(*v)));
-      } else if (auto* n = std::get_if<wire::CancelNotice>(&*m)) {
-        hooks_.on_cancelled(*n);
-      } else if (auto* q = std::get_if<wire::RelayRequest>(&*m)) {
-        wire::RelayAnswer answer;
-        answer.id = q->id;
-        auto r = co_await hooks_.execute(std::move(q->request));
-        answer.answered = r.has_value();
-        if (r) answer.response = std::move(*r);
-        out += wire::Frame(wire::WritePeerMessage(std::move(answer)));
-      }
+      auto answer = co_await Answer(std::move(*payload));
+      if (!answer) co_return;
+      out += *answer;
     }
     const double deadline = scope_.loop().Now() + kDeadBeats * beat();
     if (!out.empty()) {
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -26,6 +26,13 @@
     // Executes a peer's request to the state service.
     std::function<rt::Task<std::optional<wire::HttpResponse>>(wire::HttpRequest)> execute;
     std::function<void(const wire::PeerStatus&)> on_status;
+    // A node has answered with its status, which was asked for then. May be empty, like all below.
+    std::function<void(const std::string& node, double asked)> on_status_answered;
+    // The link to a node is up, or has broken.
+    std::function<void(const std::string& node, bool up)> on_link;
+    std::function<wire::MemberAnswer(const wire::MemberProbe&)> on_member_probe;
+    std::function<void(const std::string& node, const wire::MemberAnswer&)> on_member_answer;
+    std::function<wire::MembersReport()> members_report;
     // A link broke and the peer's machine refuses another: its process has most likely ended.
     std::function<void(const std::string& node)> on_refused;
     // Whether a node understands cancellation reports.
@@ -51,6 +58,8 @@
   bool AllConfirmOutage() const;
   // Tells all nodes that understand it of a cancellation that was just recorded.
   void Announce(const wire::CancelNotice& notice);
+  // Puts a message on the link to a node; nothing happens while there is none.
+  void Send(const std::string& node, const wire::PeerMessage& message);
   // True if some other node says, just now, that the state service answers it.
   bool AnyReachesState() const;
 
@@ -77,6 +86,12 @@
   rt::Task<> DialLoop(Peer* peer);
   rt::Task<> ReadLoop(Peer* peer, std::shared_ptr<Stream> stream, std::shared_ptr<bool> open);
   rt::Task<> WriteLoop(Peer* peer, std::shared_ptr<Stream> stream, std::shared_ptr<bool> open);
+  // Takes in what came by the link that this node dialled; false: it can't be read.
+  bool Take(Peer* peer, const std::string& payload);
+  void OnStatus(Peer* peer, const wire::PeerStatus& status);
+  // What a peer's message is answered with, as bytes to be written; nothing: it can't be read.
+  rt::Task<std::optional<std::string>> Answer(std::string payload);
+  void SetLink(Peer* peer, bool up);
   rt::Task<> AcceptLoop(Listener listener);
   rt::Task<> Serve(Stream stream);
   bool Fresh(const Peer& peer) const;
--- a/src/store/formats.cc
+++ b/src/store/formats.cc
@@ -16,8 +16,8 @@
 }
 
 Formats::Formats(rt::Scope& scope, const config::Settings& settings, Client& client,
-                 Replica& replica)
-    : scope_(scope), settings_(settings), client_(client), replica_(replica) {}
+                 Replica& replica, uint64_t mark)
+    : scope_(scope), settings_(settings), client_(client), replica_(replica), mark_(mark) {}
 
 size_t Formats::value_bytes() const {
   const double kb = packed() ? settings_.least().value_kb : settings_.value_kb;
@@ -74,14 +74,15 @@
   std::mt19937 random{std::random_device{}()};
   // Nodes that see the last mark at the same moment do not all try at once.
   std::uniform_real_distribution<double> pause(0.1 * settings_.report_s, 0.3 * settings_.report_s);
-  auto marked = [&] { return MarkOf(settings_.node) >= kCancellationReportFormat; };
+  // Not one that says more either: what was switched off since must not be asked of this node.
+  auto marked = [&] { return MarkOf(settings_.node) == mark_; };
   while (!scope_.cancelled() && !(packed() && marked())) {
     const bool known = replica_.loaded();
     auto due = [&] { return !packed() && (AllMarked() || changing()); };
     if (known && !marked()) {
       // A node's own mark of an older version is written over...
       const std::string key = MarkKey(settings_.node);
-      co_await Record(key, replica_.Version(key), WriteMark());
+      co_await Record(key, replica_.Version(key), WriteMark(mark_));
     } else if (known && due()) {
       // ...but the format never, not even one that can't be read here: whoever comes second finds
       // it.
--- a/src/store/formats.h
+++ b/src/store/formats.h
@@ -22,7 +22,9 @@
 
 class Formats {
  public:
-  Formats(rt::Scope& scope, const config::Settings& settings, Client& client, Replica& replica);
+  // `mark`: what this node records that it reads.
+  Formats(rt::Scope& scope, const config::Settings& settings, Client& client, Replica& replica,
+          uint64_t mark = kCancellationReportFormat);
 
   // The routine that records what this node reads, and the change once all do.
   rt::Task<> Run();
@@ -36,6 +38,11 @@
     return MarkOf(node) >= kCancellationReportFormat;
   }
 
+  // True if a node's mark says that membership is on there.
+  bool UnderstandsMembership(const std::string& node) const {
+    return MarkOf(node) >= kMembershipFormat;
+  }
+
   // True once the newer forms may be written.
   bool packed() const { return record_.has_value(); }
   // True while the change is proven and not recorded yet: what was refused in the old form would be
@@ -57,6 +64,7 @@
   const config::Settings& settings_;
   Client& client_;
   Replica& replica_;
+  const uint64_t mark_;
   std::map<std::string, uint64_t> marks_;  // by node
   std::optional<FormatRecord> record_;
   std::string proof_;
--- a/src/store/schema.cc
+++ b/src/store/schema.cc
@@ -9,6 +9,7 @@
 constexpr std::string_view kJobs = "hallpier/a/j/";
 constexpr std::string_view kShards = "hallpier/a/t/";
 constexpr std::string_view kMarks = "hallpier/a/node/";
+constexpr std::string_view kMembers = "hallpier/a/member/";
 constexpr std::string_view kFinals = "hallpier/f/";
 
 std::optional<uint32_t> ParseIndex(std::string_view s) {
@@ -32,6 +33,8 @@
 std::string FormatKey() { return std::string(kActive) + "format"; }
 std::string MarkKey(std::string_view node) { return std::string(kMarks).append(node); }
 
+std::string MemberKey(std::string_view node) { return std::string(kMembers).append(node); }
+
 std::string PartKey(std::string_view id, uint32_t shard, uint32_t part) {
   return ShardKey(id, shard) + "." + std::to_string(part);
 }
@@ -60,6 +63,9 @@
   } else if (key.starts_with(kMarks)) {
     out.kind = KeyKind::kMark;
     out.job = key.substr(kMarks.size());
+  } else if (key.starts_with(kMembers)) {
+    out.kind = KeyKind::kMember;
+    out.job = key.substr(kMembers.size());
   } else if (key.starts_with(kFinals)) {
     out.kind = KeyKind::kFinal;
     out.job = key.substr(kFinals.size());
@@ -197,10 +203,10 @@
   return FormatRecord{*format, {static_cast<uint32_t>(*group), static_cast<uint32_t>(*parts)}};
 }
 
-std::string WriteMark() {
+std::string WriteMark(uint64_t format) {
   wire::JsonWriter w;
   w.StartObject();
-  w.Field("format").Uint64(kCancellationReportFormat);
+  w.Field("format").Uint64(format);
   w.EndObject();
   return w.Take();
 }
--- a/src/store/schema.h
+++ b/src/store/schema.h
@@ -23,11 +23,23 @@
 std::string FinalKey(std::string_view id);
 std::string FormatKey();
 std::string MarkKey(std::string_view node);
+std::string MemberKey(std::string_view node);
 
-enum class KeyKind { kLeader, kBlock, kFlavors, kFormat, kMark, kJob, kShard, kFinal, kOther };
+enum class KeyKind {
+  kLeader,
+  kBlock,
+  kFlavors,
+  kFormat,
+  kMark,
+  kMember,
+  kJob,
+  kShard,
+  kFinal,
+  kOther
+};
 struct ParsedKey {
   KeyKind kind = KeyKind::kOther;
-  std::string job;               // kMark: the node
+  std::string job;               // kMark, kMember: the node
   uint32_t shard = 0;            // kFlavors: the page
   std::optional<uint32_t> part;  // of the shard; nothing: the whole
 };
@@ -77,7 +89,9 @@
 // A node's mark from this number on says that it understands cancellation reports between nodes as
 // well (wire/peer.h). Records stay of kFormat.
 inline constexpr uint64_t kCancellationReportFormat = 3;
-std::string WriteMark();
+// From this number on it also understands what nodes say of each other's membership.
+inline constexpr uint64_t kMembershipFormat = 4;
+std::string WriteMark(uint64_t format);
 // The format that a node's mark names; 0 if it can't be read.
 uint64_t ReadMark(std::string_view json);
 
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -1,5 +1,6 @@
 #include "wire/peer.h"
 
+#include "wire/member_codec.h"
 #include "wire/varint.h"
 
 namespace hallpier::wire {
@@ -12,6 +13,10 @@
   kCancellationReportRequest = 4,
   kCancellationReport = 5,
   kCancelNotice = 6,
+  kMemberProbe = 7,
+  kMemberAnswer = 8,
+  kMembersRequest = 9,
+  kMembersReport = 10,
 };
 
 void PutCancellation(std::string& out, const Cancellation& c) {
@@ -65,6 +70,21 @@
     PutVarint(out, kCancelNotice);
     PutCancellation(out, n.cancelled);
   }
+  void operator()(const MemberProbe& p) {
+    PutVarint(out, kMemberProbe);
+    PutVarint(out, p.sequence);
+    PutMemberStatus(out, p.status);
+  }
+  void operator()(const MemberAnswer& a) {
+    PutVarint(out, kMemberAnswer);
+    PutVarint(out, a.sequence);
+    PutMemberStatus(out, a.status);
+  }
+  void operator()(const MembersRequest& /*request*/) { PutVarint(out, kMembersRequest); }
+  void operator()(const MembersReport& r) {
+    PutVarint(out, kMembersReport);
+    PutMembersReport(out, r);
+  }
 };
 
 }  // namespace
@@ -124,6 +144,29 @@
     case kCancelNotice:
       out = CancelNotice{ReadCancellation(r)};
       break;
+    case kMemberProbe: {
+      MemberProbe p;
+      p.sequence = r.Varint();
+      if (!ReadMemberStatus(r, &p.status)) return std::nullopt;
+      out = std::move(p);
+      break;
+    }
+    case kMemberAnswer: {
+      MemberAnswer a;
+      a.sequence = r.Varint();
+      if (!ReadMemberStatus(r, &a.status)) return std::nullopt;
+      out = std::move(a);
+      break;
+    }
+    case kMembersRequest:
+      out = MembersRequest{};
+      break;
+    case kMembersReport: {
+      MembersReport report;
+      if (!ReadMembersReport(r, &report)) return std::nullopt;
+      out = std::move(report);
+      break;
+    }
     default:
       return std::nullopt;
   }
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -1,6 +1,7 @@
 // What controllers say to each other, in the varint codec.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -62,8 +63,87 @@
   Cancellation cancelled;
 };
 
+// Membership (src/membership). Understood by nodes whose mark says so (store::kMembershipFormat),
+// and sent to no other.
+
+// One life of a node's process, and how often that process has refuted a suspicion. A higher one
+// overrides all that was said of a lower one.
+struct Incarnation {
+  uint64_t session = 0;     // 0: none is known
+  uint64_t refutation = 0;  // within the session
+  auto operator<=>(const Incarnation&) const = default;
+};
+
+enum class MemberState : uint8_t { kAlive = 0, kSuspect = 1, kFailed = 2, kLeft = 3 };
+
+// What the sender of a status has observed of another node.
+struct MemberObservation {
+  std::string node;
+  Incarnation incarnation;
+  MemberState state = MemberState::kAlive;
+  // How long before it was sent the node was known to be alive; nothing: never.
+  std::optional<uint64_t> heard_ms_ago;
+  bool operator==(const MemberObservation&) const = default;
+};
+
+// How well a node is placed to lead.
+struct MemberVitals {
+  bool leading = false;
+  bool state_direct = false;    // the state service answers it without a relay
+  uint64_t turn_delay_ms = 0;   // how late its event loop gets its turns, lately
+  uint64_t worker_reports = 0;  // that reached it in the last report period
+  bool operator==(const MemberVitals&) const = default;
+};
+
+struct MemberStatus {
+  std::string node;
+  Incarnation incarnation;
+  MemberState state = MemberState::kAlive;  // kLeft: it is about to end
+  MemberVitals vitals;
+  std::string yields_to;  // a leader that gives up the lead names who is to take it
+  std::vector<MemberObservation> observations;
+  bool operator==(const MemberStatus&) const = default;
+};
+
+// The answer to a probe repeats its sequence number.
+struct MemberProbe {
+  uint64_t sequence = 0;
+  MemberStatus status;
+};
+
+struct MemberAnswer {
+  uint64_t sequence = 0;
+  MemberStatus status;
+};
+
+// Asked by the command line: how a node sees all members.
+struct MembersRequest {};
+
+struct MemberRow {
+  std::string node;
+  Incarnation incarnation;
+  MemberState state = MemberState::kAlive;
+  bool known = false;  // false: it has no record; an older version, or without membership
+  bool leading = false;
+  uint64_t since_ms = 0;  // how long it has been in its state, as far as this node knows
+  std::vector<std::string> suspected_by;
+  std::string reason;  // of the suspicion or the verdict
+  bool operator==(const MemberRow&) const = default;
+};
+
+struct MembersReport {
+  std::string node;      // whose view it is
+  bool enabled = false;  // false: membership is off there, and the rest is empty
+  std::vector<MemberRow> rows;
+  // The last change of the leader that this node saw; empty: none.
+  std::string handover_from, handover_to;
+  uint64_t handover_ms_ago = 0;
+  bool operator==(const MembersReport&) const = default;
+};
+
 using PeerMessage = std::variant<PeerStatus, RelayRequest, RelayAnswer, CancellationReportRequest,
-                                 CancellationReport, CancelNotice>;
+                                 CancellationReport, CancelNotice, MemberProbe, MemberAnswer,
+                                 MembersRequest, MembersReport>;
 
 // The payload of a frame.
 std::string WritePeerMessage(const PeerMessage& m);
--- /dev/null
+++ b/tests/large_fleet_test.cc
@@ -0,0 +1,52 @@
+// What a fleet of 4,000 machines asks of the parts that have bounds. In fake time, without I/O.
+#include "large_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include "wire/peer.h"
+
+namespace hallpier {
+namespace {
+
+using namespace testing_support;
+
+constexpr size_t kMachines = 4000;
+
+TEST(LargeFleet, ATakeoverKeepsEveryTaskAndARoundPlacesWork) {
+  LargeFleet fleet(kMachines);
+  fleet.PutRecords();
+  fleet.TakeOver(LargeFleet::kStart);
+  fleet.roster().OnListed(fleet.Listing(), LargeFleet::kStart, LargeFleet::kStart + 1);
+  EXPECT_EQ(fleet.roster().all().size(), kMachines);
+  EXPECT_TRUE(fleet.roster().Collect(fleet.ledger(), LargeFleet::kStart + 1).empty())
+      << "what runs is neither ended nor given up";
+  const plan::RoundResult plan = fleet.Plan(LargeFleet::kStart + 1);
+  EXPECT_GE(plan.places.size(), 500U);
+  EXPECT_TRUE(plan.preemptions.empty());
+  std::map<std::string, size_t> load;
+  for (const jobs::Mutation& place : plan.places) ++load[place.machine];
+  for (const auto& [machine, tasks] : load) EXPECT_LE(tasks, LargeFleet::kCpus / 2) << machine;
+}
+
+// A list may be as old as twice its usual lag: what was returned since must not come back with it.
+TEST(LargeFleet, MachinesReturnedInAWaveAreNotTakenFromALateList) {
+  constexpr size_t kWave = 2 * kMachines;
+  LargeFleet fleet(kWave);
+  fleet.TakeOver(LargeFleet::kStart);
+  const std::vector<wire::Listed> late = fleet.Listing();
+  for (size_t i = 0; i < kWave; ++i) fleet.roster().OnReturned(LargeFleet::MachineName(i));
+  fleet.roster().OnListed(late, LargeFleet::kStart, LargeFleet::kStart + 1);
+  EXPECT_EQ(fleet.roster().all().size(), 0U);
+}
+
+TEST(LargeFleet, ANodeHandsOverAsManyCancellationsAsAFrameMayHave) {
+  wire::CancellationReport report;
+  report.complete = true;
+  for (size_t i = 0; i < wire::kMaxCancellations; ++i) {
+    report.cancelled.push_back({"run-" + std::to_string(100000000 + i), UINT64_MAX});
+  }
+  EXPECT_LT(wire::WritePeerMessage(report).size(), wire::kMaxPeerFrame);
+}
+
+}  // namespace
+}  // namespace hallpier
