--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -6,8 +6,10 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 
 #include "app/controller.h"
+#include "app/members_command.h"
 
 namespace {
 
@@ -34,31 +36,36 @@
   return !faults.empty();
 }
 
-}  // namespace
+struct Arguments {
+  std::string config_file;
+  std::string operator_file;
+  bool check = false;
+  bool members = false;
+  bool json = false;
+};
 
-// An exception that reaches main ends the process, as it should.
-// NOLINTNEXTLINE(bugprone-exception-escape)
-int main(int argc, char** argv) {
+// Nothing if the arguments are in order; else the exit status.
+std::optional<int> ParseArguments(int argc, char** argv, Arguments* arguments) {
   CLI::App cli("hallpier: a controller of a cluster scheduler");
-  std::string config_file, operator_file;
-  bool check = false;
-  cli.add_option("--config", config_file, "the platform's settings (TOML)")->required();
-  cli.add_option("--operator", operator_file, "the operators' own settings (HCL-like)");
-  cli.add_flag("--check", check, "check the settings, then end");
+  cli.add_option("--config", arguments->config_file, "the platform's settings (TOML)");
+  cli.add_option("--operator", arguments->operator_file, "the operators' own settings (HCL-like)");
+  cli.add_flag("--check", arguments->check, "check the settings, then end");
   cli.set_version_flag("--version", std::string("hallpier ") + HALLPIER_VERSION);
-  CLI11_PARSE(cli, argc, argv);
-
-  using namespace hallpier;
-  std::vector<std::string> faults;
-  config::Settings settings = config::LoadSettings(config_file, &faults);
-  if (PrintFaults(config_file, faults)) return 2;
-  config::Operator operators;
-  if (!operator_file.empty()) operators = config::LoadOperator(operator_file, &faults);
-  if (PrintFaults(operator_file, faults)) return 2;
-  if (check) {
-    std::printf("settings are good\n");
-    return 0;
+  CLI::App* members = cli.add_subcommand("members", "show how the controllers see each other");
+  members->add_option("--config", arguments->config_file, "the platform's settings (TOML)");
+  members->add_flag("--json", arguments->json, "as JSON (docs/schemas/members.schema.json)");
+  try {
+    cli.parse(argc, argv);
+    if (arguments->config_file.empty()) throw CLI::RequiredError("--config");
+  } catch (const CLI::ParseError& e) {
+    return cli.exit(e);
   }
+  arguments->members = members->parsed();
+  return std::nullopt;
+}
+
+// Serves until a signal ends it.
+int Serve(hallpier::config::Settings settings, const hallpier::config::Operator& operators) {
   SetUpLog(settings.node);
   signal(SIGPIPE, SIG_IGN);
   Running running{{}, {running.loop, std::move(settings), operators}};
@@ -78,3 +85,27 @@
   for (ev_signal* w : {&term, &interrupt}) ev_signal_stop(running.loop.raw(), w);
   return 0;
 }
+
+}  // namespace
+
+// An exception that reaches main ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
+int main(int argc, char** argv) {
+  using namespace hallpier;
+  Arguments arguments;
+  if (auto status = ParseArguments(argc, argv, &arguments)) return *status;
+  std::vector<std::string> faults;
+  config::Settings settings = config::LoadSettings(arguments.config_file, &faults);
+  if (PrintFaults(arguments.config_file, faults)) return 2;
+  if (arguments.members) return app::RunMembersCommand(settings, arguments.json);
+  config::Operator operators;
+  if (!arguments.operator_file.empty()) {
+    operators = config::LoadOperator(arguments.operator_file, &faults);
+  }
+  if (PrintFaults(arguments.operator_file, faults)) return 2;
+  if (arguments.check) {
+    std::printf("settings are good\n");
+    return 0;
+  }
+  return Serve(std::move(settings), operators);
+}
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <fstream>
 #include <memory>
+#include <set>
 #include <sstream>
 
 #include "net/stream.h"
@@ -115,6 +116,15 @@
   std::vector<std::string>& faults_;
 };
 
+// A node may stand among its own seeds, but no name may stand for two of them.
+void CheckNames(const Settings& settings, Reader* reader) {
+  std::set<std::string> names;
+  for (const Seed& seed : settings.seeds) {
+    if (seed.node.empty() || names.insert(seed.node).second) continue;
+    reader->Fault("seeds", "two nodes are named " + seed.node);
+  }
+}
+
 }  // namespace
 
 StateLimits Settings::least() const {
@@ -167,6 +177,7 @@
     s.seeds.push_back(
         {r.Text(t, where, "node"), r.Text(t, where, "area"), r.Address(t, where, "endpoint")});
   });
+  CheckNames(s, &r);
   const toml::table& services = r.Table("services");
   s.cloud = r.Address(services, "services.", "cloud");
   s.state = r.Address(services, "services.", "state");
@@ -245,6 +256,7 @@
 
 std::vector<cfg_opt_t> OptionsOf(const std::vector<OperatorField>& fields) {
   std::vector<cfg_opt_t> options;
+  options.reserve(fields.size() + 2);
   for (const OperatorField& field : fields) {
     options.push_back(CFG_FLOAT(field.name, *field.into, CFGF_NONE));
   }
--- a/src/membership/yield_policy.cc
+++ b/src/membership/yield_policy.cc
@@ -39,7 +39,7 @@
   }
   // The change that made this node the leader is no sign of instability by itself.
   const size_t recent = changes_.empty() ? 0 : changes_.size() - 1;
-  const double doublings = static_cast<double>(std::min(recent, kMaxDoublings));
+  const auto doublings = static_cast<double>(std::min(recent, kMaxDoublings));
   return options_.hold_leases * options_.lease_s * std::exp2(doublings);
 }
 
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -95,83 +95,97 @@
   return std::move(w.out);
 }
 
-std::optional<PeerMessage> ReadPeerMessage(std::string_view payload) {
-  VarintReader r(payload);
-  PeerMessage out;
-  switch (r.Varint()) {
-    case kStatus: {
-      PeerStatus s;
-      s.node = r.Bytes();
-      s.token = r.Varint();
-      s.leading = r.Varint() != 0;
-      s.state_good = r.Varint() != 0;
-      out = std::move(s);
-      break;
-    }
-    case kRelayRequest: {
-      RelayRequest q;
-      q.id = r.Varint();
-      q.request.method = r.Bytes();
-      q.request.target = r.Bytes();
-      q.request.body = r.Bytes();
-      out = std::move(q);
-      break;
-    }
-    case kRelayAnswer: {
-      RelayAnswer a;
-      a.id = r.Varint();
-      a.answered = r.Varint() != 0;
-      const uint64_t status = r.Varint();
-      if (status > 999) return std::nullopt;
-      a.response.status = static_cast<int>(status);
-      a.response.body = r.Bytes();
-      out = std::move(a);
-      break;
-    }
+namespace {
+
+RelayRequest ReadRelayRequest(VarintReader& r) {
+  RelayRequest request;
+  request.id = r.Varint();
+  request.request.method = r.Bytes();
+  request.request.target = r.Bytes();
+  request.request.body = r.Bytes();
+  return request;
+}
+
+bool ReadRelayAnswer(VarintReader& r, RelayAnswer* answer) {
+  constexpr uint64_t kMaxStatus = 999;
+  answer->id = r.Varint();
+  answer->answered = r.Varint() != 0;
+  const uint64_t status = r.Varint();
+  if (status > kMaxStatus) return false;
+  answer->response.status = static_cast<int>(status);
+  answer->response.body = r.Bytes();
+  return true;
+}
+
+PeerStatus ReadStatus(VarintReader& r) {
+  PeerStatus status;
+  status.node = r.Bytes();
+  status.token = r.Varint();
+  status.leading = r.Varint() != 0;
+  status.state_good = r.Varint() != 0;
+  return status;
+}
+
+bool ReadCancellationReport(VarintReader& r, CancellationReport* report) {
+  report->complete = r.Varint() != 0;
+  report->revision = r.Varint();
+  const uint64_t count = r.Varint();
+  if (count > kMaxCancellations) return false;
+  for (uint64_t i = 0; i < count && r.ok(); ++i) report->cancelled.push_back(ReadCancellation(r));
+  return true;
+}
+
+bool ReadProbe(VarintReader& r, MemberProbe* probe) {
+  probe->sequence = r.Varint();
+  return ReadMemberStatus(r, &probe->status);
+}
+
+bool ReadAnswer(VarintReader& r, MemberAnswer* answer) {
+  answer->sequence = r.Varint();
+  return ReadMemberStatus(r, &answer->status);
+}
+
+// The message behind the type; nothing if it is malformed.
+std::optional<PeerMessage> ReadBody(uint64_t type, VarintReader& r) {
+  // Reads one that may be malformed.
+  auto checked = [&](auto message, auto read) -> std::optional<PeerMessage> {
+    if (!read(r, &message)) return std::nullopt;
+    return message;
+  };
+  switch (type) {
+    case kStatus:
+      return ReadStatus(r);
+    case kRelayRequest:
+      return ReadRelayRequest(r);
+    case kRelayAnswer:
+      return checked(RelayAnswer(), ReadRelayAnswer);
     case kCancellationReportRequest:
-      out = CancellationReportRequest{r.Varint()};
-      break;
-    case kCancellationReport: {
-      CancellationReport v;
-      v.complete = r.Varint() != 0;
-      v.revision = r.Varint();
-      const uint64_t count = r.Varint();
-      if (count > kMaxCancellations) return std::nullopt;
-      for (uint64_t i = 0; i < count && r.ok(); ++i) v.cancelled.push_back(ReadCancellation(r));
-      out = std::move(v);
-      break;
-    }
+      return CancellationReportRequest{r.Varint()};
+    case kCancellationReport:
+      return checked(CancellationReport(), ReadCancellationReport);
     case kCancelNotice:
-      out = CancelNotice{ReadCancellation(r)};
-      break;
-    case kMemberProbe: {
-      MemberProbe p;
-      p.sequence = r.Varint();
-      if (!ReadMemberStatus(r, &p.status)) return std::nullopt;
-      out = std::move(p);
-      break;
-    }
-    case kMemberAnswer: {
-      MemberAnswer a;
-      a.sequence = r.Varint();
-      if (!ReadMemberStatus(r, &a.status)) return std::nullopt;
-      out = std::move(a);
-      break;
-    }
+      return CancelNotice{ReadCancellation(r)};
+    case kMemberProbe:
+      return checked(MemberProbe(), ReadProbe);
+    case kMemberAnswer:
+      return checked(MemberAnswer(), ReadAnswer);
     case kMembersRequest:
-      out = MembersRequest{};
-      break;
-    case kMembersReport: {
-      MembersReport report;
-      if (!ReadMembersReport(r, &report)) return std::nullopt;
-      out = std::move(report);
-      break;
-    }
+      return MembersRequest{};
+    case kMembersReport:
+      return checked(MembersReport(), ReadMembersReport);
     default:
       return std::nullopt;
   }
+}
+
+}  // namespace
+
+std::optional<PeerMessage> ReadPeerMessage(std::string_view payload) {
+  VarintReader r(payload);
+  const uint64_t type = r.Varint();
+  std::optional<PeerMessage> message = ReadBody(type, r);
   if (!r.Finished()) return std::nullopt;
-  return out;
+  return message;
 }
 
 }  // namespace hallpier::wire
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -113,7 +113,7 @@
     for (int i = first; i < end; ++i) {
       newest_[i] = nodes_.size();
       nodes_.push_back(
-          std::make_unique<app::Controller>(loop_, NodeSettings(i, count), config::Operator()));
+          std::make_unique<app::Controller>(loop_, NodeSettings(i, count), operators_));
       ASSERT_TRUE(nodes_.back()->Start(&error)) << error;
     }
   }
@@ -240,6 +240,7 @@
   double cpus_max_ = 0;         // of the team; 0: no limit
   double run_s_ = 0.3;
   std::optional<config::StateLimits> state_next_;
+  config::Operator operators_;
   int apart_ = -1;
   int refused_ = -1;  // the node that Cut() takes the state service from, and nothing else
   double lease_s_ = 3;
--- a/tests/membership_cluster.h
+++ b/tests/membership_cluster.h
@@ -243,11 +243,11 @@
   }
 
   // Runs when the node gets its turn: at once, on waking, or never if this process has ended.
-  void InProcess(const std::string& name, uint64_t process, std::function<void()> f) {
+  void InProcess(const std::string& name, uint64_t process, const std::function<void()>& f) {
     Node& node = nodes_.at(name);
     if (node.process != process) return;
     if (node.frozen) {
-      node.backlog.push_back([this, name, process, f] { InProcess(name, process, f); });
+      node.backlog.emplace_back([this, name, process, f] { InProcess(name, process, f); });
     } else {
       f();
     }
@@ -266,9 +266,9 @@
   void Tick(const std::string& name) {
     Node& node = nodes_.at(name);
     if (options_.membership) {
-      for (membership::Proposal& proposal :
+      for (const membership::Proposal& proposal :
            node.table->Tick(LocalNow(name), StateReachable(node))) {
-        Submit(name, std::move(proposal));
+        Submit(name, proposal);
       }
       EndJudgedLeader(name);
       for (const std::string& other : names_) {
@@ -289,7 +289,7 @@
     return delay_s;
   }
 
-  void Deliver(const std::string& from, const std::string& to, std::function<void()> f) {
+  void Deliver(const std::string& from, const std::string& to, const std::function<void()>& f) {
     const std::optional<double> delay_s = Travel(from, to);
     if (!delay_s || !nodes_.at(to).running) return;
     const uint64_t process = nodes_.at(to).process;
@@ -310,7 +310,7 @@
     });
   }
 
-  void Submit(const std::string& name, membership::Proposal proposal) {
+  void Submit(const std::string& name, const membership::Proposal& proposal) {
     const uint64_t process = nodes_.at(name).process;
     if (proposal.kind == membership::Proposal::Kind::kVerdict && on_verdict_sent_) {
       auto f = std::exchange(on_verdict_sent_, nullptr);
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -140,10 +140,12 @@
     limits.shares = {{.takes = [](const wire::HttpRequest& /*unused*/) { return true; },
                       .most = kRoom,
                       .periodic = true}};
-    server_.emplace(scope_, limits, [this](wire::HttpRequest /*unused*/) { return Answer(); });
+    server_.emplace(scope_, limits,
+                    [this](const wire::HttpRequest& /*unused*/) { return Answer(); });
     std::string error;
     EXPECT_TRUE(server_->Listen(At(0), &error)) << error;
     std::vector<std::unique_ptr<net::HttpClient>> workers;
+    workers.reserve(kWorkers);
     for (int i = 0; i < kWorkers; ++i) {
       workers.push_back(std::make_unique<net::HttpClient>(1, 1024));
     }
