--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -182,7 +182,10 @@
   const uint64_t lease_id = lease_id_;
   token_ = lease_id_ = 0;
   spdlog::info("leadership: term is over");
-  auto ended = co_await client_.End(lease_id);
+  // A node that yields since it is refused alone can end its lease only by way of a peer.
+  const auto route =
+      take_hooks_.allowed ? store::Client::Route::kAny : store::Client::Route::kDirect;
+  auto ended = co_await client_.End(lease_id, route);
   (void)ended;
   holding_ = false;
 }
--- a/src/membership/service.cc
+++ b/src/membership/service.cc
@@ -78,7 +78,7 @@
       probe_s_(deps_.options->probe_ratio * deps_.settings->report_s),
       table_(TableOptions(*deps_.settings, *deps_.options), Now()),
       yield_policy_(YieldOptions(*deps_.settings, *deps_.options)),
-      reports_(deps_.settings->report_s, Now()),
+      reports_(YieldPolicy::kCountedPart * deps_.settings->report_s, Now()),
       next_tick_(Now() + probe_s_),
       pause_seen_(Now()) {
   for (const std::string& node : NamesOf(deps_.settings->seeds)) {
--- a/src/membership/yield_policy.cc
+++ b/src/membership/yield_policy.cc
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr double kMsPerS = 1000;
-// A leader that hears less than this part of its machines has lost most links to workers...
+// A leader that hears less than this part of the reports that are due has lost most links to
+// workers...
 constexpr double kHeardPart = 0.5;
 // ...if others get at least this part of the reports that it misses.
 constexpr double kElsewherePart = 0.5;
@@ -18,7 +19,7 @@
 // ...and a node whose own come sooner by this factor is better placed.
 constexpr double kBetterTurns = 4;
 // A reason must stand for so many report periods.
-constexpr double kSustainReports = 1.5;
+constexpr double kSustainReports = 0.75;
 constexpr double kSustainTurnsReports = 4;
 // Changes of the leader count for so many leases, and double the hold at most so often.
 constexpr double kRecentLeases = 8;
@@ -70,23 +71,27 @@
 std::optional<YieldPolicy::Candidate> YieldPolicy::Find(
     const wire::MemberVitals& own, size_t machines,
     const std::map<std::string, wire::MemberVitals>& others) const {
-  const auto expected = static_cast<double>(machines);
+  const double expected = kCountedPart * static_cast<double>(machines);
   const auto heard = static_cast<double>(own.worker_reports);
-  const bool workers_lost = machines >= kLeastMachines && heard < kHeardPart * expected;
+  // A worker that can't reach the leader tries the others in turn, so that they are one count.
+  double elsewhere = 0;
+  for (const auto& [node, vitals] : others) {
+    elsewhere += static_cast<double>(vitals.worker_reports);
+  }
+  const bool workers_lost = machines >= kLeastMachines && heard < kHeardPart * expected &&
+                            elsewhere >= kElsewherePart * (expected - heard);
   const bool late =
       static_cast<double>(own.turn_delay_ms) / kMsPerS > kLateTurnPart * options_.report_s;
   std::optional<Candidate> best;
   uint64_t best_reports = 0;
   for (const auto& [node, vitals] : others) {
     if (!vitals.state_direct) continue;
-    const bool has_workers =
-        static_cast<double>(vitals.worker_reports) >= kElsewherePart * (expected - heard);
     const bool better_turns = static_cast<double>(vitals.turn_delay_ms) * kBetterTurns <
                               static_cast<double>(own.turn_delay_ms);
     std::optional<Reason> reason;
     if (!own.state_direct) {
       reason = Reason::kStateService;
-    } else if (workers_lost && has_workers) {
+    } else if (workers_lost && vitals.worker_reports > 0) {
       reason = Reason::kWorkers;
     } else if (late && better_turns) {
       reason = Reason::kTurns;
@@ -98,6 +103,12 @@
   return best;
 }
 
+bool YieldPolicy::Held(Reason reason, double now) {
+  // Without the state service the lease is about to be lost whatever is decided here.
+  if (reason == Reason::kStateService || changes_.empty()) return false;
+  return now - changes_.back() < HoldS(now);
+}
+
 std::optional<Yield> YieldPolicy::Decide(const wire::MemberVitals& own, size_t machines,
                                          const std::map<std::string, wire::MemberVitals>& others,
                                          double now) {
@@ -111,7 +122,7 @@
     reason_since_ = now;
   }
   if (now - reason_since_ < SustainS(candidate->reason)) return std::nullopt;
-  if (!changes_.empty() && now - changes_.back() < HoldS(now)) return std::nullopt;
+  if (Held(candidate->reason, now)) return std::nullopt;
   return Yield{candidate->node, Describe(candidate->reason)};
 }
 
--- a/src/membership/yield_policy.h
+++ b/src/membership/yield_policy.h
@@ -33,6 +33,9 @@
   void OnLeaderChanged(double now);
   // This process was paused: what it counted before says nothing.
   void OnPause();
+  // Part of a report period over which nodes count what reaches them (MemberVitals).
+  static constexpr double kCountedPart = 0.5;
+
   // `own`: of this node, which leads; `machines`: those that are up and should report to it.
   // `others`: of all nodes that answer. Something only if a reason has stood for long enough.
   std::optional<Yield> Decide(const wire::MemberVitals& own, size_t machines,
@@ -48,6 +51,8 @@
                                 const std::map<std::string, wire::MemberVitals>& others) const;
   double SustainS(Reason reason) const;
   double HoldS(double now);
+  // True while a change would come too soon after others.
+  bool Held(Reason reason, double now);
   static std::string Describe(Reason reason);
 
   const Options options_;
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -205,10 +205,10 @@
   co_return Result<bool>{Status::kOk, true};
 }
 
-rt::Task<Result<bool>> Client::End(uint64_t lease_id) {
+rt::Task<Result<bool>> Client::End(uint64_t lease_id, Route route) {
   wire::HttpRequest q{
       .method = "DELETE", .target = "/holds/" + std::to_string(lease_id), .body = {}};
-  auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s);
+  auto r = co_await Call(std::move(q), 0, Urgent::kYes, options_.timeout_s, -1, route);
   if (!r || (r->status != 200 && r->status != 204 && r->status != 404)) {
     co_return Failed<bool>(r);
   }
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -71,7 +71,7 @@
   // Whether a call may go by way of a peer while this node alone is refused.
   enum class Route { kDirect, kAny };
   rt::Task<Result<bool>> Extend(uint64_t lease_id, Route route);
-  rt::Task<Result<bool>> End(uint64_t lease_id);
+  rt::Task<Result<bool>> End(uint64_t lease_id, Route route = Route::kDirect);
   rt::Task<Result<wire::ChangeList>> Follow(std::string prefix, uint64_t revision, double block_s);
 
   // True once the service has refused what only the lower limits forbid.
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -91,7 +91,7 @@
   bool leading = false;
   bool state_direct = false;    // the state service answers it without a relay
   uint64_t turn_delay_ms = 0;   // how late its event loop gets its turns, lately
-  uint64_t worker_reports = 0;  // that reached it in the last report period
+  uint64_t worker_reports = 0;  // that reached it in the last half of a report period
   bool operator==(const MemberVitals&) const = default;
 };
 
--- /dev/null
+++ b/tools/membership_report/experiments.cc
@@ -0,0 +1,233 @@
+#include "experiments.h"
+
+#include <boost/histogram.hpp>
+#include <functional>
+
+#include "membership_cluster.h"
+
+namespace hallpier::report {
+namespace {
+
+using testing_support::MembershipCluster;
+
+constexpr double kHour = 3600;
+constexpr double kSettleS = 30;
+// A leader's lease and the time between two probes, in report periods (config/settings.h).
+constexpr double kLeaseRatio = 0.5;
+constexpr double kProbeRatio = 1.0 / 16;
+
+// Samples in bins of 5 ms up to twenty minutes; what lies beyond counts as that.
+class Samples {
+ public:
+  void Add(double value) {
+    histogram_(value);
+    ++count_;
+  }
+  Summary Summarize() const { return {Quantile(0.5), Quantile(0.9), Quantile(0.99), count_}; }
+
+ private:
+  static constexpr double kMost = 1200;
+  static constexpr unsigned kBins = 240000;
+
+  // The lower edge of the bin in which the quantile lies.
+  double Quantile(double q) const {
+    const double wanted = q * static_cast<double>(count_);
+    double seen = 0;
+    for (auto&& bin : boost::histogram::indexed(histogram_, boost::histogram::coverage::all)) {
+      seen += static_cast<double>(*bin);
+      if (seen >= wanted && seen > 0) return std::clamp(bin.bin().lower(), 0.0, kMost);
+    }
+    return 0;
+  }
+
+  using Axis = boost::histogram::axis::regular<>;
+  decltype(boost::histogram::make_histogram(Axis(kBins, 0.0, kMost))) histogram_ =
+      boost::histogram::make_histogram(Axis(kBins, 0.0, kMost));
+  size_t count_ = 0;
+};
+
+MembershipCluster::Options ForReportPeriod(double report_s) {
+  MembershipCluster::Options options;
+  options.leader_ttl_s = kLeaseRatio * report_s;
+  options.probe_s = kProbeRatio * report_s;
+  return options;
+}
+
+// Runs `measure` for each seed on a cluster that has settled, off and on.
+Point MeasurePoint(double x, MembershipCluster::Options options, const Effort& effort,
+                   const std::function<void(MembershipCluster&, Samples&)>& measure) {
+  Point point{.x = x, .off = {}, .on = {}};
+  for (const bool on : {false, true}) {
+    Samples samples;
+    options.membership = on;
+    for (int run = 0; run < effort.runs; ++run) {
+      options.seed = effort.seed + static_cast<uint64_t>(run);
+      MembershipCluster cluster(options);
+      cluster.RunUntil([&] { return !cluster.Leader().empty(); }, kSettleS);
+      // Not always at the same moment of the lease.
+      cluster.RunFor(10 + 0.037 * run);
+      measure(cluster, samples);
+    }
+    (on ? point.on : point.off) = samples.Summarize();
+  }
+  return point;
+}
+
+void TimeToHandover(MembershipCluster& cluster, Samples& samples) {
+  const double began = cluster.now();
+  const size_t before = cluster.handovers().size();
+  cluster.Freeze(cluster.Leader());
+  cluster.RunUntil([&] { return cluster.handovers().size() > before; }, kSettleS);
+  samples.Add(cluster.now() - began);
+}
+
+Experiment Handover(const Effort& effort) {
+  Experiment e{
+      .name = "handover",
+      .title = "Time from the freeze of a leader to its successor",
+      .x_label = "report period (s)",
+      .y_label = "s",
+      .explanation =
+          "The leader's lease of half a report period runs out between two thirds of its "
+          "length and all of it after the freeze, and comes first here. A verdict takes "
+          "three missed probes, the agreement of the other observer, and three intervals in "
+          "which the suspicion stands recorded. The best that could be had is the time of "
+          "the first missed probe; what prevents it is that one missed probe says nothing "
+          "of a small core that is late with its turns.",
+      .points = {}};
+  for (const double report_s : {3.0, 4.0, 10.0}) {
+    e.points.push_back(MeasurePoint(report_s, ForReportPeriod(report_s), effort, TimeToHandover));
+  }
+  return e;
+}
+
+Experiment LongLease(const Effort& effort) {
+  Experiment e{.name = "long_lease",
+               .title = "The same with longer leases of the leader, report period 4 s",
+               .x_label = "leader's lease (s)",
+               .y_label = "s",
+               .explanation =
+                   "A longer lease spares a slow leader; without membership it is paid for with "
+                   "every leader that ends. With it the time hardly depends on the lease.",
+               .points = {}};
+  for (const double lease_s : {2.0, 4.0, 8.0, 16.0}) {
+    MembershipCluster::Options options = ForReportPeriod(4);
+    options.leader_ttl_s = lease_s;
+    e.points.push_back(MeasurePoint(lease_s, options, effort, TimeToHandover));
+  }
+  return e;
+}
+
+Experiment Notice(const Effort& effort) {
+  Experiment e{.name = "notice",
+               .title = "Time until another node suspects a frozen node that does not lead",
+               .x_label = "report period (s)",
+               .y_label = "s",
+               .explanation = "Without membership nothing notices it; 30 s is the end of the run.",
+               .points = {}};
+  for (const double report_s : {3.0, 4.0, 10.0}) {
+    e.points.push_back(MeasurePoint(
+        report_s, ForReportPeriod(report_s), effort, [](MembershipCluster& c, Samples& samples) {
+          const std::string leader = c.Leader();
+          const std::string subject = c.Name(leader == c.Name(0) ? 1 : 0);
+          const double began = c.now();
+          c.Freeze(subject);
+          c.RunUntil([&] { return c.Seen(leader, subject) == wire::MemberState::kSuspect; },
+                     kSettleS);
+          samples.Add(c.now() - began);
+        }));
+  }
+  return e;
+}
+
+Experiment PauseLength(const Effort& effort) {
+  Experiment e{.name = "pause_length",
+               .title = "Changes of the leader for one pause of it, report period 4 s",
+               .x_label = "length of the pause (s)",
+               .y_label = "changes of the leader",
+               .explanation =
+                   "A pause shorter than the lease should cost nothing, a longer one one change. "
+                   "Nobody can tell the two apart before the pause is over.",
+               .points = {}};
+  for (const double pause_s : {0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0}) {
+    e.points.push_back(MeasurePoint(
+        pause_s, ForReportPeriod(4), effort, [pause_s](MembershipCluster& c, Samples& samples) {
+          const size_t before = c.handovers().size();
+          const std::string leader = c.Leader();
+          c.Freeze(leader);
+          c.RunFor(pause_s);
+          c.Resume(leader);
+          c.RunFor(kSettleS);
+          samples.Add(static_cast<double>(c.handovers().size() - before));
+        }));
+  }
+  return e;
+}
+
+// Nothing fails; what is done wrongly in an hour, of the kind that `count` reads off.
+Experiment Wrongs(const std::string& name, const std::string& title, const std::string& x_label,
+                  const std::vector<double>& xs,
+                  const std::function<void(double, MembershipCluster::Options&)>& set,
+                  const std::function<double(const MembershipCluster&)>& count,
+                  const std::string& explanation, const Effort& effort) {
+  Experiment e{.name = name,
+               .title = title,
+               .x_label = x_label,
+               .y_label = "in an hour",
+               .explanation = explanation,
+               .points = {}};
+  // An hour of simulated time each: fewer of them.
+  const Effort less{.runs = std::max(1, effort.runs / 10), .seed = effort.seed};
+  for (const double x : xs) {
+    MembershipCluster::Options options = ForReportPeriod(4);
+    set(x, options);
+    e.points.push_back(
+        MeasurePoint(x, options, less, [&count](MembershipCluster& c, Samples& samples) {
+          const double before = count(c);
+          c.RunFor(kHour);
+          samples.Add(count(c) - before);
+        }));
+  }
+  return e;
+}
+
+double Suspicions(const MembershipCluster& c) { return static_cast<double>(c.suspicions()); }
+double Verdicts(const MembershipCluster& c) { return static_cast<double>(c.verdicts().size()); }
+
+}  // namespace
+
+std::vector<Experiment> MeasureAll(const Effort& effort) {
+  const std::vector<double> losses = {0, 0.01, 0.05, 0.1, 0.2};
+  auto lossy = [](double x, MembershipCluster::Options& o) {
+    o.loss = x;
+    o.retransmit_s = 1;
+  };
+  const std::vector<double> loads = {0, 0.05, 0.1, 0.2, 0.4};
+  auto busy = [](double x, MembershipCluster::Options& o) {
+    o.busy = x;
+    o.busy_s = 5;
+  };
+  return {
+      Notice(effort),
+      Handover(effort),
+      LongLease(effort),
+      PauseLength(effort),
+      Wrongs("loss_suspicions", "Recorded suspicions of nodes that are well, against loss",
+             "part of packets sent again", losses, lossy, Suspicions,
+             "Each packet that is lost comes 1 s later, or more if it is lost again.", effort),
+      Wrongs("loss_verdicts", "Verdicts on nodes that are well, against loss",
+             "part of packets sent again", losses, lossy, Verdicts, "The best is none.", effort),
+      Wrongs("load_suspicions", "Recorded suspicions of nodes that are well, against load",
+             "part of ticks followed by up to 5 s without a turn", loads, busy, Suspicions,
+             "Probes and answers are late as their sender is; who is late itself waits longer "
+             "before it suspects others.",
+             effort),
+      Wrongs("load_verdicts", "Verdicts on nodes that are well, against load",
+             "part of ticks followed by up to 5 s without a turn", loads, busy, Verdicts,
+             "The best is none. A node that is late in refuting as well may be judged; it joins "
+             "again at once.",
+             effort),
+  };
+}
+
+}  // namespace hallpier::report
--- /dev/null
+++ b/tools/scale/main.cc
@@ -0,0 +1,63 @@
+// How long a takeover and a round take at several sizes of the fleet, on this machine's processor
+// and without any I/O. Prints one line for each size.
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+
+#include "large_fleet.h"
+
+namespace {
+
+using hallpier::testing_support::LargeFleet;
+
+double Milliseconds(const std::function<void()>& f) {
+  const auto began = std::chrono::steady_clock::now();
+  f();
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began)
+      .count();
+}
+
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+void Measure(size_t machines, int runs) {
+  std::vector<double> load, takeover, list, collect, round;
+  size_t placed = 0;
+  for (int run = 0; run < runs; ++run) {
+    LargeFleet fleet(machines);
+    const double now = LargeFleet::kStart;
+    load.push_back(Milliseconds([&] { fleet.PutRecords(); }));
+    takeover.push_back(Milliseconds([&] { fleet.TakeOver(now); }));
+    const auto listing = fleet.Listing();
+    list.push_back(Milliseconds([&] { fleet.roster().OnListed(listing, now, now + 1); }));
+    collect.push_back(Milliseconds([&] { fleet.roster().Collect(fleet.ledger(), now + 1); }));
+    round.push_back(Milliseconds([&] { placed = fleet.Plan(now + 1).places.size(); }));
+  }
+  std::printf(
+      "%6zu machines: load %.1f ms, takeover %.1f ms, list %.1f ms, collect %.1f ms, "
+      "round %.1f ms (%zu placed); median of %d\n",
+      machines, Median(load), Median(takeover), Median(list), Median(collect), Median(round),
+      placed, runs);
+}
+
+}  // namespace
+
+// An exception that reaches main ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
+int main(int argc, char** argv) {
+  CLI::App cli("scale: cost of a takeover and of a round by the size of the fleet");
+  std::vector<size_t> sizes = {1000, 2000, 4000};
+  int runs = 9;
+  cli.add_option("--machines", sizes, "sizes of the fleet");
+  cli.add_option("--runs", runs, "for each size")->check(CLI::Range(1, 1000));
+  CLI11_PARSE(cli, argc, argv);
+  spdlog::set_level(spdlog::level::off);
+  for (const size_t machines : sizes) Measure(machines, runs);
+  return 0;
+}
