--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -74,6 +74,33 @@
   EXPECT_EQ(faults.size(), 1U);
 }
 
+TEST(Operator, MembershipIsOffUnlessSwitchedOnAndItsRangesAreChecked) {
+  std::vector<std::string> faults;
+  EXPECT_FALSE(config::ParseOperator("round_s = 1.5\n", &faults).membership.enabled);
+  auto o = config::ParseOperator("membership {\n enabled = true\n missed_probes = 5\n}\n", &faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_TRUE(o.membership.enabled);
+  EXPECT_EQ(o.membership.missed_probes, 5);
+  EXPECT_EQ(o.membership.probe_ratio, config::Membership().probe_ratio);
+  config::ParseOperator("membership {\n probe_ratio = 7\n confirm_probes = 0\n}\n", &faults);
+  ASSERT_EQ(faults.size(), 2U);
+  EXPECT_EQ(faults[0], "membership.probe_ratio: 7 is not between 0.01 and 1");
+  EXPECT_EQ(faults[1], "membership.confirm_probes: 0 is not between 1 and 100");
+  faults.clear();
+  config::ParseOperator("membership {\n enabled = perhaps\n}\n", &faults);
+  EXPECT_EQ(faults.size(), 1U);
+}
+
+TEST(Settings, TwoNodesOfOneNameAreAFault) {
+  std::string text = kGoodSettings;
+  text.insert(text.find("[services]"),
+              "[[seeds]]\nnode = \"n-1\"\narea = \"a\"\nendpoint = \"127.0.0.1:9\"\n");
+  std::vector<std::string> faults;
+  config::ParseSettings(text, &faults);
+  ASSERT_EQ(faults.size(), 1U);
+  EXPECT_EQ(faults[0], "seeds: two nodes are named n-1");
+}
+
 const char* const kJob = R"({"id":"run-000412","lane":"train","tenant":"vision","shape":"array",
  "urgency":"urgent","pieces":16,"vcpus":8.0,"cards":1.0,"memGb":64.0,"bundle":"img-07",
  "sizeGb":6.2,"flavors":["g8"],"hall":null,"oneZone":true,"spread":false,"lendable":true,
