--- a/tests/membership_nodes_test.cc
+++ b/tests/membership_nodes_test.cc
@@ -100,6 +100,7 @@
     co_await Pause(2 * kReport);
     const double began = loop_.Now();
     co_await EndInOrder(0);
+    EXPECT_NE(Leader(), "node-0") << "given up before the process ends, not for its refused port";
     bool ok = co_await Within(1.5, [&] { return !Leader().empty() && Leader() != "node-0"; });
     EXPECT_TRUE(ok) << "handed over at once, after " << loop_.Now() - began << " s";
     EXPECT_TRUE(Is(0, MemberState::kLeft));
@@ -135,6 +136,24 @@
     EXPECT_EQ(cloud_->starts(), 6);
   }
 
+  // Nobody else is there to end its lease.
+  rt::Task<> IsJudgedAlone() {
+    co_await AllJoined(1);
+    co_await RunsAJob(0);
+    MemberRecord record = *Record(0);
+    record.state = MemberState::kFailed;
+    record.by = "node-2";
+    const std::string lease_before = state_->Value(store::LeaderKey());
+    co_await WriteRecord(store::MemberKey("node-0"), membership::WriteMember(record));
+    bool ok = co_await Within(5, [&] {
+      return Is(0, MemberState::kAlive) && !Leader().empty() &&
+             state_->Value(store::LeaderKey()) != lease_before;
+    });
+    EXPECT_TRUE(ok) << "it leads by a lease from before the verdict";
+    co_await Pause(1);
+    EXPECT_EQ(cloud_->Running("run-1"), 6);
+  }
+
   rt::Task<> Commands() {
     co_await AllJoined(3);
     bool ok = co_await Within(5, [&] { return !Leader().empty(); });
@@ -239,6 +258,12 @@
   EXPECT_EQ(cloud_->started_twice(), 0);
 }
 
+TEST_F(MembershipNodesTest, AJudgedLeaderGivesUpByItself) {
+  Start(1);
+  Run(IsJudgedAlone());
+  EXPECT_EQ(cloud_->started_twice(), 0);
+}
+
 TEST_F(MembershipNodesTest, TheCommandShowsWhatEachNodeSees) {
   Start(3);
   Run(Commands());
--- a/tests/membership_parts_test.cc
+++ b/tests/membership_parts_test.cc
@@ -301,6 +301,66 @@
   EXPECT_TRUE(fresh.Tick(0.2, true).empty()) << "one at a time";
 }
 
+// node-2 answers, and says of node-1 what is given; node-1 is silent.
+class SilentNodeTest : public TableTest {
+ protected:
+  void PassWith(double s, const wire::MemberObservation& observation, double answer_age_s = 0.01) {
+    for (double end = now_ + s; now_ < end;) {
+      now_ += kSilence.probe_s;
+      wire::MemberStatus status = StatusOf("node-2", {8, 0});
+      status.observations = {observation};
+      table_.OnAnswer(status, now_ - 0.01, now_);
+      if (held_up_) table_.OnAnswer(StatusOf("node-1", {5, 0}), now_ - answer_age_s, now_);
+      for (auto& proposal : table_.Tick(now_, true)) proposals_.push_back(std::move(proposal));
+    }
+  }
+  MemberState Seen() const { return table_.Rows(now_)[1].state; }
+  const wire::MemberObservation suspects_{"node-1", {5, 0}, MemberState::kSuspect, std::nullopt};
+  bool held_up_ = false;
+};
+
+// Either guard missing, a refutation or a new session in between would be overruled, or two that
+// suspect each other would both be judged.
+TEST_F(SilentNodeTest, EachStepIsGuardedByTheSubjectsAndTheWritersRecord) {
+  auto expect_guards = [&](membership::Proposal::Kind kind, uint64_t subject_version) {
+    ASSERT_EQ(proposals_.size(), 1U);
+    EXPECT_EQ(proposals_[0].kind, kind);
+    ASSERT_EQ(proposals_[0].guards.size(), 2U);
+    EXPECT_EQ(proposals_[0].guards[0].key, store::MemberKey("node-1"));
+    EXPECT_EQ(proposals_[0].guards[0].version, subject_version);
+    EXPECT_EQ(proposals_[0].guards[1].key, store::MemberKey("node-0"));
+    EXPECT_EQ(proposals_[0].guards[1].version, 10U);
+  };
+  PassWith(3, suspects_);
+  expect_guards(membership::Proposal::Kind::kSuspect, 11);
+  table_.OnProposalDone("node-1", now_);
+  Record("node-1", {MemberState::kSuspect, {5, 0}, 7, "node-0", "does not answer"}, 30);
+  proposals_.clear();
+  PassWith(0.5, suspects_);
+  EXPECT_TRUE(proposals_.empty()) << "three intervals are left to refute";
+  PassWith(3, suspects_);
+  expect_guards(membership::Proposal::Kind::kVerdict, 30);
+}
+
+TEST_F(SilentNodeTest, WithoutTheOtherObserverNobodyIsAccusedAtFirst) {
+  PassWith(3, {"node-1", {5, 0}, MemberState::kAlive, std::nullopt});
+  EXPECT_EQ(Seen(), MemberState::kSuspect);
+  EXPECT_TRUE(proposals_.empty());
+}
+
+TEST_F(SilentNodeTest, WhatIsSaidOfAFormerSessionIsNoSignOfLife) {
+  PassWith(3, {"node-1", {4, 0}, MemberState::kAlive, 10});
+  EXPECT_EQ(Seen(), MemberState::kSuspect);
+  PassWith(3, {"node-1", {5, 0}, MemberState::kAlive, 10});
+  EXPECT_EQ(Seen(), MemberState::kAlive);
+}
+
+TEST_F(SilentNodeTest, AnswersThatWereHeldUpAreNoSignOfLife) {
+  held_up_ = true;
+  PassWith(40, suspects_, 20);
+  EXPECT_EQ(Seen(), MemberState::kSuspect);
+}
+
 TEST_F(TableTest, WhoeverIsSuspectItselfAccusesNobody) {
   Record("node-0", {MemberState::kSuspect, {1, 0}, kInstance, "node-2", ""}, 21);
   table_.Tick(0.1, true);  // its refutation, never carried out
