The other nodes, the relayed part of a lease and the size of a return are each said once

Cause: in the last reading the list of the other nodes was found made in four places (Controller, PeerMesh, membership, the members command), the part of a lease for which a leader renews by a peer in two, and so the 100 machines of one return. MemberTable had two accessors and an argument that nobody used, and a lookup of a record of which only its existence was asked.

Change: Settings::OtherSeeds and OtherNodes, Leadership::kRelayedRatio and CloudLoop::kReturnsPerCall are the one place of each; MemberTable::Failed says yes or no; what nobody used is gone.

Left alone: milliseconds in a second stand in four files; the beginnings of two tests of a refused leader are alike.

--- a/src/app/cloud_loop.cc
+++ b/src/app/cloud_loop.cc
@@ -18,7 +18,6 @@
 constexpr double kListShare = 0.2;
 // Machine types are asked for anew after this many report periods.
 constexpr double kFlavorReports = 20;
-constexpr size_t kReturnsPerCall = 100;
 // Who hears too few workers leaves the lead to another for this part of their lease.
 constexpr double kResignRatio = 1.0;
 // A page of the list of machines has 500 of them at the most, however large the fleet.
--- a/src/app/cloud_loop.h
+++ b/src/app/cloud_loop.h
@@ -16,6 +16,9 @@
 
 class CloudLoop {
  public:
+  // Machines that one request to the cloud may return.
+  static constexpr size_t kReturnsPerCall = 100;
+
   // `changed`: something came that a round should look at.
   CloudLoop(LeaderDeps deps, fleet::Roster& roster, plan::Context& context,
             std::function<void()> changed);
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -43,14 +43,6 @@
   return o;
 }
 
-std::vector<std::string> OtherNodes(const config::Settings& s) {
-  std::vector<std::string> out;
-  for (const config::Seed& seed : s.seeds) {
-    if (seed.node != s.node) out.push_back(seed.node);
-  }
-  return out;
-}
-
 // What this node records that it understands (store::Formats).
 uint64_t MarkOf(const config::Operator& operators) {
   return operators.membership.enabled ? store::kMembershipFormat : store::kCancellationReportFormat;
@@ -89,7 +81,7 @@
       leadership_(root_, settings_, operators_, client_, replica_,
                   [this](rt::Scope& term) { leader_loop_.Begin(term); }),
       watermark_({settings_.cancel_s, settings_.lease_s, settings_.report_s},
-                 OtherNodes(settings_)),
+                 settings_.OtherNodes()),
       leader_loop_({&settings_, &operators_, &client_, &replica_, &formats_, &ledger_, &flavors_,
                     &leadership_, TimeOfDay}),
       barrier_(root_, client_, replica_, kBarrierS),
--- a/src/app/leader_loop.cc
+++ b/src/app/leader_loop.cc
@@ -24,8 +24,6 @@
 // takes two of them, its placement and its end.
 constexpr double kRetryWriteShare = 0.1;
 constexpr double kWritesPerRetry = 2;
-// Machines that one request to the cloud may return.
-constexpr double kMachinesPerReturn = 100;
 // A worker's report lists what its machine holds, which does not grow with the fleet.
 constexpr size_t kMaxWorkerBody = size_t{256} * 1024;
 
@@ -44,7 +42,7 @@
       roster_({deps_.settings->report_s, deps_.settings->lease_s, deps_.settings->list_lag_s,
                deps_.operators->silent_ratio,
                kRetryWriteShare * deps_.settings->least().write_rps / kWritesPerRetry,
-               kMachinesPerReturn * deps_.settings->cloud_rps}),
+               CloudLoop::kReturnsPerCall * deps_.settings->cloud_rps}),
       max_sends_(
           std::max<size_t>(1, static_cast<size_t>(kCommandSockets * deps_.settings->max_sockets))),
       workers_(1, kMaxWorkerBody, max_sends_),
--- a/src/app/members_command.cc
+++ b/src/app/members_command.cc
@@ -24,8 +24,8 @@
 
 std::vector<Target> Targets(const config::Settings& settings) {
   std::vector<Target> targets = {{settings.node, settings.peer_bind}};
-  for (const config::Seed& seed : settings.seeds) {
-    if (seed.node != settings.node) targets.push_back({seed.node, seed.endpoint});
+  for (config::Seed& seed : settings.OtherSeeds()) {
+    targets.push_back({std::move(seed.node), std::move(seed.endpoint)});
   }
   return targets;
 }
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -137,6 +137,20 @@
   return out;
 }
 
+std::vector<Seed> Settings::OtherSeeds() const {
+  std::vector<Seed> others;
+  for (const Seed& seed : seeds) {
+    if (seed.node != node) others.push_back(seed);
+  }
+  return others;
+}
+
+std::vector<std::string> Settings::OtherNodes() const {
+  std::vector<std::string> names;
+  for (Seed& seed : OtherSeeds()) names.push_back(std::move(seed.node));
+  return names;
+}
+
 const Team* Settings::FindTeam(const std::string& name) const {
   for (const Team& t : teams) {
     if (t.name == name) return &t;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -66,6 +66,9 @@
 
   // The smaller of both: what is within these is never refused for its size.
   StateLimits least() const;
+  // The seeds without this node, which may stand among them.
+  std::vector<Seed> OtherSeeds() const;
+  std::vector<std::string> OtherNodes() const;
   const Team* FindTeam(const std::string& name) const;
   // The first one of a kind for a job class.
   const Objective* FindObjective(const std::string& kind, const std::string& job_class) const;
--- a/src/lead/leadership.cc
+++ b/src/lead/leadership.cc
@@ -8,10 +8,6 @@
 namespace {
 // The lease is renewed this often within its length.
 constexpr double kRenewals = 3;
-// A leader that the state service refuses alone renews by way of a peer for this part of the
-// workers' lease: a refusal that comes and goes must not move the lead each time. Beyond that
-// another node leads, since the watch, which brings new jobs, goes by way of no peer.
-constexpr double kRelayedRatio = 0.25;
 }  // namespace
 
 Leadership::Leadership(rt::Scope& scope, const config::Settings& settings,
--- a/src/lead/leadership.h
+++ b/src/lead/leadership.h
@@ -17,6 +17,11 @@
 
 class Leadership {
  public:
+  // A leader that the state service refuses alone renews by way of a peer for this part of the
+  // workers' lease: a refusal that comes and goes must not move the lead each time. Beyond that
+  // another node leads, since the watch, which brings new jobs, goes by way of no peer.
+  static constexpr double kRelayedRatio = 0.25;
+
   // Runs the duties of a term in the given scope until that is cancelled.
   using Term = std::function<void(rt::Scope& scope)>;
 
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -157,7 +157,7 @@
   if (Member* member = Find(node)) member->evidence.OnHeard(asked);
 }
 
-void MemberTable::OnRefused(const std::string& node, double /*now*/) {
+void MemberTable::OnRefused(const std::string& node) {
   if (Member* member = Find(node)) member->refused = true;
 }
 
@@ -394,13 +394,10 @@
   return "";
 }
 
-std::optional<MemberRecord> MemberTable::FailedRecord(const std::string& node) const {
+bool MemberTable::Failed(const std::string& node) const {
   auto it = members_.find(node);
-  if (it == members_.end() || !it->second.record ||
-      it->second.record->state != wire::MemberState::kFailed) {
-    return std::nullopt;
-  }
-  return it->second.record;
+  return it != members_.end() && it->second.record &&
+         it->second.record->state == wire::MemberState::kFailed;
 }
 
 std::vector<wire::MemberRow> MemberTable::Rows(double now) const {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -60,7 +60,7 @@
   // that know no membership.
   void OnStatusAnswered(const std::string& node, double asked);
   // The node's port refuses connections after a link to it has broken.
-  void OnRefused(const std::string& node, double now);
+  void OnRefused(const std::string& node);
   // This process was paused, or got its turns late; what it did not hear meanwhile says nothing.
   void OnPause(double now);
   // How long a transaction takes that the state service answers.
@@ -96,10 +96,8 @@
   // Whom some other node that leads, or led a moment ago, names as its successor; empty: nobody.
   std::string SuccessorNamedByOthers(double now) const;
   std::vector<wire::MemberRow> Rows(double now) const;
-  // The latest record that says that a node failed and the session that it judged; nothing: none.
-  std::optional<MemberRecord> FailedRecord(const std::string& node) const;
-  double probe_s() const { return options_.silence.probe_s; }
-  int health_score() const { return health_.score(); }
+  // True if another node's record says that it failed.
+  bool Failed(const std::string& node) const;
 
  private:
   // What one observer says of a member.
--- a/src/membership/service.cc
+++ b/src/membership/service.cc
@@ -22,25 +22,16 @@
 constexpr double kReviews = 4;
 // Time for which a named successor is left alone, in intervals of probes.
 constexpr double kSuccessorIntervals = 4;
-// A leader goes by way of other nodes for so long until it yields (see Leadership).
-constexpr double kRelayedLeases = 0.25;
 // An orderly end waits this part of a report period at the most until the lease has been ended.
 constexpr double kLeavePart = 0.5;
 constexpr double kLeavePolls = 20;
 
-std::vector<std::string> NamesOf(const std::vector<config::Seed>& seeds) {
-  std::vector<std::string> names;
-  names.reserve(seeds.size());
-  for (const config::Seed& seed : seeds) names.push_back(seed.node);
-  return names;
-}
-
 MemberTable::Options TableOptions(const config::Settings& settings,
                                   const config::Membership& options) {
   std::random_device device;
   std::uniform_int_distribution<uint64_t> draw(1);
   return {.node = settings.node,
-          .others = NamesOf(settings.seeds),
+          .others = settings.OtherNodes(),
           .silence = {options.probe_ratio * settings.report_s, options.missed_probes},
           .confirm_probes = options.confirm_probes,
           .instance = draw(device)};
@@ -51,7 +42,7 @@
   return {.report_s = settings.report_s,
           .lease_s = settings.lease_s,
           .hold_leases = options.yield_leases,
-          .relayed_leases = kRelayedLeases};
+          .relayed_leases = lead::Leadership::kRelayedRatio};
 }
 
 std::string_view KindName(Proposal::Kind kind) {
@@ -81,9 +72,7 @@
       reports_(YieldPolicy::kCountedPart * deps_.settings->report_s, Now()),
       next_tick_(Now() + probe_s_),
       pause_seen_(Now()) {
-  for (const std::string& node : NamesOf(deps_.settings->seeds)) {
-    if (node != deps_.settings->node) links_[node];
-  }
+  for (const std::string& node : deps_.settings->OtherNodes()) links_[node];
 }
 
 rt::Task<> Service::Run() {
@@ -161,7 +150,7 @@
   link.probed = link.answered = false;
 }
 
-void Service::OnRefused(const std::string& node) { table_.OnRefused(node, Now()); }
+void Service::OnRefused(const std::string& node) { table_.OnRefused(node); }
 
 void Service::OnStatusAnswered(const std::string& node, double asked) {
   table_.OnStatusAnswered(node, asked);
@@ -223,7 +212,7 @@
   if (!leadership.leading()) {
     // A judged leader's lease is ended for it. It can't have led again since: it must have joined
     // anew for that, and its record would say so.
-    if (table_.FailedRecord(leadership.leader())) leadership.Suspect(leadership.leader());
+    if (table_.Failed(leadership.leader())) leadership.Suspect(leadership.leader());
     return;
   }
   if (table_.Judged()) leadership.Resign(0, "this node was judged as failed");
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -24,8 +24,7 @@
 
 PeerMesh::PeerMesh(rt::Scope& scope, const config::Settings& settings, Hooks hooks)
     : scope_(scope), settings_(settings), hooks_(std::move(hooks)) {
-  for (const config::Seed& s : settings_.seeds) {
-    if (s.node == settings_.node) continue;
+  for (const config::Seed& s : settings_.OtherSeeds()) {
     peers_.push_back(std::make_unique<Peer>());
     peers_.back()->seed = s;
   }
--- a/tests/membership_cluster.h
+++ b/tests/membership_cluster.h
@@ -414,7 +414,7 @@
   }
   void EndJudgedLeader(const std::string& by) {
     if (leader_.empty() || leader_ == by || !StateReachable(nodes_.at(by))) return;
-    if (!Table(by).FailedRecord(leader_)) return;
+    if (!Table(by).Failed(leader_)) return;
     leader_until_ = std::min(leader_until_, now_);
   }
 
