Tests take ports that are free by proof; threads no longer share a read buffer

TheCommandShowsWhatEachNodeSees failed by itself: the command's loop runs in a thread beside the nodes' loop in that test, and Stream::Read had one static buffer for both, so that each read what the other had just received. No healthy node writes a report that can't be read: random valid messages of all ten types, with numbers at and beside the bounds of a varint, are read as written. An operator's command runs alone in its process and never met the fault.

The buffer is one for each thread. The codec says what came and which field is out of its bounds; `hallpier members` and the log show it. Found on the way: a node that was heard 2^64-1 ms ago was written as never heard.

Ruled out: port 0, since nodes are told each other's addresses before they listen; running the test alone; times below zero in a report, which std::max keeps out.

--- a/src/app/members_command.cc
+++ b/src/app/members_command.cc
@@ -30,6 +30,20 @@
   return targets;
 }
 
+void TakeAnswer(const std::string& payload, MembersAnswer* answer) {
+  std::string fault;
+  auto message = wire::ReadPeerMessage(payload, &fault);
+  if (!message) {
+    answer->error = "gives an answer that can't be read: " + fault;
+    return;
+  }
+  if (auto* report = std::get_if<wire::MembersReport>(&*message)) {
+    answer->report = std::move(*report);
+    return;
+  }
+  answer->error = fmt::format("answers with {}", wire::PeerMessageName(*message));
+}
+
 rt::Task<> Ask(rt::Scope& scope, Target target, double deadline, MembersAnswer* answer) {
   answer->node = target.node;
   auto to = net::ParseAddress(target.endpoint);
@@ -43,14 +57,8 @@
   bool open = co_await stream->Write(scope, request, deadline);
   wire::FrameBuffer frames(wire::kMaxPeerFrame);
   while (open && !frames.corrupt()) {
-    while (auto payload = frames.Next()) {
-      auto message = wire::ReadPeerMessage(*payload);
-      auto* report = message ? std::get_if<wire::MembersReport>(&*message) : nullptr;
-      if (report == nullptr) {
-        answer->error = "answers something else";
-        co_return;
-      }
-      answer->report = std::move(*report);
+    if (auto payload = frames.Next()) {
+      TakeAnswer(*payload, answer);
       co_return;
     }
     std::string data;
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -188,9 +188,10 @@
 }
 
 bool PeerMesh::Take(Peer* peer, const std::string& payload) {
-  auto m = wire::ReadPeerMessage(payload);
+  std::string fault;
+  auto m = wire::ReadPeerMessage(payload, &fault);
   if (!m) {
-    spdlog::warn("peer {}: a message can't be read", peer->seed.node);
+    spdlog::warn("peer {}: a message can't be read: {}", peer->seed.node, fault);
     return false;
   }
   if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
@@ -244,8 +245,12 @@
 }
 
 rt::Task<std::optional<std::string>> PeerMesh::Answer(std::string payload) {
-  auto m = wire::ReadPeerMessage(payload);
-  if (!m) co_return std::nullopt;
+  std::string fault;
+  auto m = wire::ReadPeerMessage(payload, &fault);
+  if (!m) {
+    spdlog::warn("somebody's message to this node can't be read: {}", fault);
+    co_return std::nullopt;
+  }
   std::optional<wire::PeerMessage> answer;
   if (auto* s = std::get_if<wire::PeerStatus>(&*m)) {
     hooks_.on_status(*s);
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -54,9 +54,10 @@
 }
 
 rt::Task<bool> Stream::Read(rt::Scope& scope, std::string& out, double deadline, bool later) {
-  // One for all: nothing is kept in it while a routine waits. In the routine itself it would make
-  // every idle connection as large.
-  static std::array<char, kReadSize> chunk;
+  // One for all of a thread's routines: nothing is kept in it while a routine waits. In the routine
+  // itself it would make every idle connection as large. Loops of other threads have their own;
+  // sharing one mixed up what two of them read at a time.
+  thread_local std::array<char, kReadSize> chunk;
   while (true) {
     if (!later) {
       ssize_t n = recv(fd_.get(), chunk.data(), chunk.size(), 0);
--- a/src/wire/member_codec.cc
+++ b/src/wire/member_codec.cc
@@ -1,5 +1,8 @@
 #include "wire/member_codec.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace hallpier::wire {
 namespace {
 
@@ -21,28 +24,41 @@
 
 void PutFlag(std::string& out, bool flag) { PutVarint(out, flag ? 1 : 0); }
 
-bool ReadState(VarintReader& reader, MemberState* state) {
+MemberState ReadState(VarintReader& reader) {
   const uint64_t number = reader.Varint();
-  if (number > static_cast<uint64_t>(MemberState::kLeft)) return false;
-  *state = static_cast<MemberState>(number);
-  return true;
+  if (number > static_cast<uint64_t>(MemberState::kLeft)) {
+    reader.Refuse("a member's state", number);
+    return MemberState::kAlive;
+  }
+  return static_cast<MemberState>(number);
+}
+
+// 0 stands for never, so that all others are one more than they are; the largest can't be.
+void PutHeard(std::string& out, const std::optional<uint64_t>& heard_ms_ago) {
+  constexpr uint64_t kLongest = std::numeric_limits<uint64_t>::max() - 1;
+  PutVarint(out, heard_ms_ago ? std::min(*heard_ms_ago, kLongest) + 1 : 0);
+}
+
+std::optional<uint64_t> ReadHeard(VarintReader& reader) {
+  const uint64_t heard = reader.Varint();
+  if (heard == 0) return std::nullopt;
+  return heard - 1;
 }
 
 void PutObservation(std::string& out, const MemberObservation& observation) {
   PutBytes(out, observation.node);
   PutIncarnation(out, observation.incarnation);
   PutVarint(out, static_cast<uint64_t>(observation.state));
-  // 0 stands for never, so that all others are one more than they are.
-  PutVarint(out, observation.heard_ms_ago ? *observation.heard_ms_ago + 1 : 0);
+  PutHeard(out, observation.heard_ms_ago);
 }
 
-bool ReadObservation(VarintReader& reader, MemberObservation* observation) {
-  observation->node = reader.Bytes();
-  observation->incarnation = ReadIncarnation(reader);
-  if (!ReadState(reader, &observation->state)) return false;
-  const uint64_t heard = reader.Varint();
-  if (heard > 0) observation->heard_ms_ago = heard - 1;
-  return reader.ok();
+MemberObservation ReadObservation(VarintReader& reader) {
+  MemberObservation observation;
+  observation.node = reader.Bytes();
+  observation.incarnation = ReadIncarnation(reader);
+  observation.state = ReadState(reader);
+  observation.heard_ms_ago = ReadHeard(reader);
+  return observation;
 }
 
 void PutVitals(std::string& out, const MemberVitals& vitals) {
@@ -73,20 +89,20 @@
   PutBytes(out, row.reason);
 }
 
-bool ReadRow(VarintReader& reader, MemberRow* row) {
-  row->node = reader.Bytes();
-  row->incarnation = ReadIncarnation(reader);
-  if (!ReadState(reader, &row->state)) return false;
-  row->known = reader.Varint() != 0;
-  row->leading = reader.Varint() != 0;
-  row->since_ms = reader.Varint();
-  const uint64_t accusers = reader.Varint();
-  if (accusers > kMaxMembers) return false;
+MemberRow ReadRow(VarintReader& reader) {
+  MemberRow row;
+  row.node = reader.Bytes();
+  row.incarnation = ReadIncarnation(reader);
+  row.state = ReadState(reader);
+  row.known = reader.Varint() != 0;
+  row.leading = reader.Varint() != 0;
+  row.since_ms = reader.Varint();
+  const uint64_t accusers = reader.Count("the number of accusers", kMaxMembers);
   for (uint64_t i = 0; i < accusers && reader.ok(); ++i) {
-    row->suspected_by.emplace_back(reader.Bytes());
+    row.suspected_by.emplace_back(reader.Bytes());
   }
-  row->reason = reader.Bytes();
-  return reader.ok();
+  row.reason = reader.Bytes();
+  return row;
 }
 
 }  // namespace
@@ -103,18 +119,18 @@
   }
 }
 
-bool ReadMemberStatus(VarintReader& reader, MemberStatus* status) {
-  status->node = reader.Bytes();
-  status->incarnation = ReadIncarnation(reader);
-  if (!ReadState(reader, &status->state)) return false;
-  status->vitals = ReadVitals(reader);
-  status->yields_to = reader.Bytes();
-  const uint64_t count = reader.Varint();
-  if (count > kMaxMembers) return false;
+MemberStatus ReadMemberStatus(VarintReader& reader) {
+  MemberStatus status;
+  status.node = reader.Bytes();
+  status.incarnation = ReadIncarnation(reader);
+  status.state = ReadState(reader);
+  status.vitals = ReadVitals(reader);
+  status.yields_to = reader.Bytes();
+  const uint64_t count = reader.Count("the number of observations", kMaxMembers);
   for (uint64_t i = 0; i < count && reader.ok(); ++i) {
-    if (!ReadObservation(reader, &status->observations.emplace_back())) return false;
+    status.observations.push_back(ReadObservation(reader));
   }
-  return reader.ok();
+  return status;
 }
 
 void PutMembersReport(std::string& out, const MembersReport& report) {
@@ -127,18 +143,16 @@
   PutVarint(out, report.handover_ms_ago);
 }
 
-bool ReadMembersReport(VarintReader& reader, MembersReport* report) {
-  report->node = reader.Bytes();
-  report->enabled = reader.Varint() != 0;
-  const uint64_t count = reader.Varint();
-  if (count > kMaxMembers) return false;
-  for (uint64_t i = 0; i < count && reader.ok(); ++i) {
-    if (!ReadRow(reader, &report->rows.emplace_back())) return false;
-  }
-  report->handover_from = reader.Bytes();
-  report->handover_to = reader.Bytes();
-  report->handover_ms_ago = reader.Varint();
-  return reader.ok();
+MembersReport ReadMembersReport(VarintReader& reader) {
+  MembersReport report;
+  report.node = reader.Bytes();
+  report.enabled = reader.Varint() != 0;
+  const uint64_t count = reader.Count("the number of members", kMaxMembers);
+  for (uint64_t i = 0; i < count && reader.ok(); ++i) report.rows.push_back(ReadRow(reader));
+  report.handover_from = reader.Bytes();
+  report.handover_to = reader.Bytes();
+  report.handover_ms_ago = reader.Varint();
+  return report;
 }
 
 }  // namespace hallpier::wire
--- a/src/wire/member_codec.h
+++ b/src/wire/member_codec.h
@@ -9,10 +9,10 @@
 namespace hallpier::wire {
 
 void PutMemberStatus(std::string& out, const MemberStatus& status);
-// False if it is malformed; short input shows in `reader` as well.
-bool ReadMemberStatus(VarintReader& reader, MemberStatus* status);
+// What is malformed shows in `reader`.
+MemberStatus ReadMemberStatus(VarintReader& reader);
 
 void PutMembersReport(std::string& out, const MembersReport& report);
-bool ReadMembersReport(VarintReader& reader, MembersReport* report);
+MembersReport ReadMembersReport(VarintReader& reader);
 
 }  // namespace hallpier::wire
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -106,15 +106,19 @@
   return request;
 }
 
-bool ReadRelayAnswer(VarintReader& r, RelayAnswer* answer) {
+RelayAnswer ReadRelayAnswer(VarintReader& r) {
   constexpr uint64_t kMaxStatus = 999;
-  answer->id = r.Varint();
-  answer->answered = r.Varint() != 0;
+  RelayAnswer answer;
+  answer.id = r.Varint();
+  answer.answered = r.Varint() != 0;
   const uint64_t status = r.Varint();
-  if (status > kMaxStatus) return false;
-  answer->response.status = static_cast<int>(status);
-  answer->response.body = r.Bytes();
-  return true;
+  if (status > kMaxStatus) {
+    r.Refuse("the status of a relayed answer", status);
+    return answer;
+  }
+  answer.response.status = static_cast<int>(status);
+  answer.response.body = r.Bytes();
+  return answer;
 }
 
 PeerStatus ReadStatus(VarintReader& r) {
@@ -126,66 +130,101 @@
   return status;
 }
 
-bool ReadCancellationReport(VarintReader& r, CancellationReport* report) {
-  report->complete = r.Varint() != 0;
-  report->revision = r.Varint();
-  const uint64_t count = r.Varint();
-  if (count > kMaxCancellations) return false;
-  for (uint64_t i = 0; i < count && r.ok(); ++i) report->cancelled.push_back(ReadCancellation(r));
-  return true;
+CancellationReport ReadCancellationReport(VarintReader& r) {
+  CancellationReport report;
+  report.complete = r.Varint() != 0;
+  report.revision = r.Varint();
+  const uint64_t count = r.Count("the number of cancellations", kMaxCancellations);
+  for (uint64_t i = 0; i < count && r.ok(); ++i) report.cancelled.push_back(ReadCancellation(r));
+  return report;
 }
 
-bool ReadProbe(VarintReader& r, MemberProbe* probe) {
-  probe->sequence = r.Varint();
-  return ReadMemberStatus(r, &probe->status);
+MemberProbe ReadProbe(VarintReader& r) {
+  MemberProbe probe;
+  probe.sequence = r.Varint();
+  probe.status = ReadMemberStatus(r);
+  return probe;
 }
 
-bool ReadAnswer(VarintReader& r, MemberAnswer* answer) {
-  answer->sequence = r.Varint();
-  return ReadMemberStatus(r, &answer->status);
+MemberAnswer ReadAnswer(VarintReader& r) {
+  MemberAnswer answer;
+  answer.sequence = r.Varint();
+  answer.status = ReadMemberStatus(r);
+  return answer;
 }
 
-// The message behind the type; nothing if it is malformed.
-std::optional<PeerMessage> ReadBody(uint64_t type, VarintReader& r) {
-  // Reads one that may be malformed.
-  auto checked = [&](auto message, auto read) -> std::optional<PeerMessage> {
-    if (!read(r, &message)) return std::nullopt;
-    return message;
-  };
+// The message behind the type; what is malformed shows in the reader.
+PeerMessage ReadBody(uint64_t type, VarintReader& r) {
   switch (type) {
     case kStatus:
       return ReadStatus(r);
     case kRelayRequest:
       return ReadRelayRequest(r);
     case kRelayAnswer:
-      return checked(RelayAnswer(), ReadRelayAnswer);
+      return ReadRelayAnswer(r);
     case kCancellationReportRequest:
       return CancellationReportRequest{r.Varint()};
     case kCancellationReport:
-      return checked(CancellationReport(), ReadCancellationReport);
+      return ReadCancellationReport(r);
     case kCancelNotice:
       return CancelNotice{ReadCancellation(r)};
     case kMemberProbe:
-      return checked(MemberProbe(), ReadProbe);
+      return ReadProbe(r);
     case kMemberAnswer:
-      return checked(MemberAnswer(), ReadAnswer);
+      return ReadAnswer(r);
     case kMembersRequest:
       return MembersRequest{};
     case kMembersReport:
-      return checked(MembersReport(), ReadMembersReport);
+      return ReadMembersReport(r);
+    default:
+      r.Refuse("the type of a message", type);
+      return MembersRequest{};
+  }
+}
+
+std::string_view TypeName(uint64_t type) {
+  switch (type) {
+    case kStatus:
+      return "a status";
+    case kRelayRequest:
+      return "a request to relay";
+    case kRelayAnswer:
+      return "a relayed answer";
+    case kCancellationReportRequest:
+      return "a request for cancellations";
+    case kCancellationReport:
+      return "a report of cancellations";
+    case kCancelNotice:
+      return "a notice of a cancellation";
+    case kMemberProbe:
+      return "a probe";
+    case kMemberAnswer:
+      return "an answer to a probe";
+    case kMembersRequest:
+      return "a request for members";
+    case kMembersReport:
+      return "a report of members";
     default:
-      return std::nullopt;
+      return "a message of an unknown type";
   }
 }
 
 }  // namespace
 
-std::optional<PeerMessage> ReadPeerMessage(std::string_view payload) {
+std::optional<PeerMessage> ReadPeerMessage(std::string_view payload, std::string* fault) {
   VarintReader r(payload);
   const uint64_t type = r.Varint();
-  std::optional<PeerMessage> message = ReadBody(type, r);
-  if (!r.Finished()) return std::nullopt;
-  return message;
+  PeerMessage message = ReadBody(type, r);
+  if (r.Finished()) return message;
+  if (fault != nullptr) {
+    *fault = std::string(TypeName(type)) + ": " + (r.ok() ? "more than it should be" : r.fault());
+  }
+  return std::nullopt;
+}
+
+std::string_view PeerMessageName(const PeerMessage& message) {
+  // The alternatives of the variant stand in the order of the types, which begin with 1.
+  return TypeName(message.index() + 1);
 }
 
 }  // namespace hallpier::wire
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -147,7 +147,10 @@
 
 // The payload of a frame.
 std::string WritePeerMessage(const PeerMessage& m);
-std::optional<PeerMessage> ReadPeerMessage(std::string_view payload);
+// Nothing if it is malformed; `fault`, if given, then says what came and what is wrong with it.
+std::optional<PeerMessage> ReadPeerMessage(std::string_view payload, std::string* fault = nullptr);
+// What a message is, in words for a log or a console.
+std::string_view PeerMessageName(const PeerMessage& message);
 
 inline constexpr size_t kMaxPeerFrame = size_t{256} * 1024;
 // Cancellations in one frame; job ids are short.
--- a/src/wire/varint.cc
+++ b/src/wire/varint.cc
@@ -30,14 +30,32 @@
       return value;
     }
   }
+  Fail(data_.size() < kMaxVarintBytes ? "cut short" : "a number of more than 64 bits");
+  return 0;
+}
+
+void VarintReader::Fail(std::string fault) {
+  if (!ok_) return;
   ok_ = false;
+  fault_ = std::move(fault);
+}
+
+void VarintReader::Refuse(std::string_view field, uint64_t value) {
+  Fail(std::string(field) + " can't be " + std::to_string(value));
+}
+
+uint64_t VarintReader::Count(std::string_view field, uint64_t most) {
+  const uint64_t count = Varint();
+  if (count <= most) return count;
+  Refuse(field, count);
   return 0;
 }
 
 std::string_view VarintReader::Bytes() {
   const uint64_t size = Varint();
-  if (!ok_ || size > data_.size()) {
-    ok_ = false;
+  if (!ok_) return {};
+  if (size > data_.size()) {
+    Fail("cut short");
     return {};
   }
   std::string_view out = data_.substr(0, size);
--- a/src/wire/varint.h
+++ b/src/wire/varint.h
@@ -19,13 +19,22 @@
 
   uint64_t Varint();
   std::string_view Bytes();
+  // A count of things that follow, each of one byte at least. 0, and a refusal, above `most`.
+  uint64_t Count(std::string_view field, uint64_t most);
+  // `field` was read as a value that it can't have. The first fault is the one that is kept.
+  void Refuse(std::string_view field, uint64_t value);
   bool ok() const { return ok_; }
+  // What is wrong, in words for a log; empty while ok().
+  const std::string& fault() const { return fault_; }
   // True if all was read, and read well.
   bool Finished() const { return ok_ && data_.empty(); }
 
  private:
+  void Fail(std::string fault);
+
   std::string_view data_;
   bool ok_ = true;
+  std::string fault_;
 };
 
 // Takes frames out of a byte stream.
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <map>
 #include <set>
 
 #include "app/controller.h"
 #include "fixtures.h"
+#include "port_block.h"
 #include "standins/standins.h"
 
 namespace hallpier::testing_support {
@@ -49,7 +49,7 @@
   }
 
   // Ports of this process and test, so that tests may run side by side.
-  std::string At(int n) const { return "127.0.0.1:" + std::to_string(base_ + n); }
+  static std::string At(int n) { return PortBlock::OfProcess().At(n); }
 
   config::Settings NodeSettings(int i, int count) {
     config::Settings s = SettingsOf();
@@ -100,12 +100,13 @@
     options.report_s = kReport;
     options.lease_s = lease_s_;
     options.run_s = run_s_;
-    options.first_port = base_ + 30;
+    options.first_port = PortBlock::OfProcess().first() + kFirstWorkerPort;
+    options.ports = kWorkerPorts;
     state_ = std::make_unique<standins::State>(scope_);
     cloud_ = std::make_unique<standins::Cloud>(scope_, options);
-    ASSERT_TRUE(state_->Listen(At(20), &error)) << error;
-    ASSERT_TRUE(state_->ListenApart(At(22), &error)) << error;
-    ASSERT_TRUE(cloud_->Listen(At(21), &error)) << error;
+    RequireStarted(state_->Listen(At(20), &error), "the state service", error);
+    RequireStarted(state_->ListenApart(At(22), &error), "its second way in", error);
+    RequireStarted(cloud_->Listen(At(21), &error), "the cloud", error);
   }
 
   void StartNodes(int first, int end, int count) {
@@ -114,7 +115,7 @@
       newest_[i] = nodes_.size();
       nodes_.push_back(
           std::make_unique<app::Controller>(loop_, NodeSettings(i, count), operators_));
-      ASSERT_TRUE(nodes_.back()->Start(&error)) << error;
+      RequireStarted(nodes_.back()->Start(&error), "node " + std::to_string(i), error);
     }
   }
 
@@ -196,7 +197,7 @@
 
   static store::Client::Options StateOptions() {
     store::Client::Options o;
-    o.endpoint = "127.0.0.1:" + std::to_string(Base() + 20);
+    o.endpoint = At(20);
     o.rps = o.write_rps = 10000;
     o.max_body = 1 << 20;
     return o;
@@ -216,14 +217,10 @@
     co_return f();
   }
 
-  static int Base() {
-    // Below the ports that the system hands out to connections, and of this process alone among
-    // those that run at a time.
-    static int base = 10000 + getpid() % 340 * 64;
-    return base;
-  }
+  // Below are nodes and services.
+  static constexpr int kFirstWorkerPort = 30;
+  static constexpr int kWorkerPorts = PortBlock::kPorts - 1 - kFirstWorkerPort;
 
-  const int base_ = Base();
   rt::Loop loop_;
   rt::Scope scope_;
   rt::Scope idle_{loop_};
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -1,8 +1,9 @@
 // Connections and links on loopback: shares of the sockets, requests that nobody waits for any
 // more, and what a process finds in its buffers after it stood still.
 #include <gtest/gtest.h>
-#include <unistd.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/peer_mesh.h"
+#include "port_block.h"
 #include "standins/standins.h"
 #include "store/barrier.h"
 #include "wire/peer.h"
@@ -53,9 +55,7 @@
     std::this_thread::sleep_for(std::chrono::duration<double>(s));
   }
 
-  static std::string At(int n) {
-    return "127.0.0.1:" + std::to_string(10000 + getpid() % 340 * 64 + 56 + n);
-  }
+  static std::string At(int n) { return PortBlock::OfProcess().At(n); }
 
   static store::Client::Options StateAt(int n) {
     store::Client::Options options;
@@ -81,7 +81,7 @@
                      {[](const wire::HttpRequest& r) { return r.path() == "/b"; }, 2}};
     server_.emplace(scope_, limits, [this](wire::HttpRequest r) { return Answer(std::move(r)); });
     std::string error;
-    EXPECT_TRUE(server_->Listen(At(0), &error)) << error;
+    RequireStarted(server_->Listen(At(0), &error), "a server", error);
   }
   rt::Task<wire::HttpResponse> Answer(wire::HttpRequest /*unused*/) {
     ++handled_;
@@ -143,7 +143,7 @@
     server_.emplace(scope_, limits,
                     [this](const wire::HttpRequest& /*unused*/) { return Answer(); });
     std::string error;
-    EXPECT_TRUE(server_->Listen(At(0), &error)) << error;
+    RequireStarted(server_->Listen(At(0), &error), "a server", error);
     std::vector<std::unique_ptr<net::HttpClient>> workers;
     workers.reserve(kWorkers);
     for (int i = 0; i < kWorkers; ++i) {
@@ -249,7 +249,7 @@
   rt::Task<> Script() {
     std::string error;
     auto listener = net::Listener::Open(*net::ParseAddress(At(1)), &error);
-    EXPECT_TRUE(listener.has_value()) << error;
+    RequireStarted(listener.has_value(), "a listener", error);
     config::Settings s = SettingsOf();
     s.node = "node-0";
     s.report_s = 4;  // a beat of 0.5 s
@@ -260,7 +260,7 @@
     hooks.on_status = [](const wire::PeerStatus&) {};
     hooks.on_refused = [](const std::string&) {};
     net::PeerMesh mesh(scope_, s, hooks);
-    EXPECT_TRUE(mesh.Start(&error)) << error;
+    RequireStarted(mesh.Start(&error), "the links", error);
     scope_.Spawn(AnswerPings(std::move(*listener)));
     co_await Pause(0.7);
     EXPECT_GE(answered_, 1);
@@ -382,7 +382,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(3), &error)) << error;
+    RequireStarted(state.Listen(At(3), &error), "a server", error);
     LoneLeader node(scope_, LeaderSettings(kReport, kLease), StateAt(3));
     lead::Leadership& lead = node.lead;
     while (!lead.leading()) co_await Pause(0.01);
@@ -408,7 +408,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(3), &error)) << error;
+    RequireStarted(state.Listen(At(3), &error), "a server", error);
     LoneLeader node(scope_, LeaderSettings(kReport, kLease), StateAt(3));
     bool outage_confirmed = false;
     node.lead.SetOutageConfirmed([&] { return outage_confirmed; });
@@ -443,8 +443,8 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(3), &error)) << error;
-    EXPECT_TRUE(state.ListenApart(At(4), &error)) << error;
+    RequireStarted(state.Listen(At(3), &error), "a server", error);
+    RequireStarted(state.ListenApart(At(4), &error), "a server", error);
     store::Client peer(scope_, StateAt(3));
     LoneLeader node(scope_, LeaderSettings(kReport, kShortLease), StateAt(4));
     node.client.SetRelay([&peer](wire::HttpRequest request) -> rt::Task<net::Relayed> {
@@ -494,7 +494,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(3), &error)) << error;
+    RequireStarted(state.Listen(At(3), &error), "a server", error);
     store::Client::Options options = StateAt(3);
     options.rps = 40;
     options.timeout_s = 1;
@@ -536,7 +536,7 @@
     net::HttpServer::Limits limits{4, 1024, 30, 5, kNeverQuiet};
     server_.emplace(scope_, limits,
                     [this](const wire::HttpRequest& /*unused*/) { return Count(); });
-    EXPECT_TRUE(server_->Listen(At(0), &error)) << error;
+    RequireStarted(server_->Listen(At(0), &error), "a server", error);
     co_return;
   }
   rt::Task<wire::HttpResponse> Count() {
@@ -604,7 +604,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(6), &error)) << error;
+    RequireStarted(state.Listen(At(6), &error), "a server", error);
     store::Client client(scope_, StateAt(6));
     bool sent = false;
     client.SetRelay([&sent](wire::HttpRequest) -> rt::Task<net::Relayed> {
@@ -634,7 +634,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(7), &error)) << error;
+    RequireStarted(state.Listen(At(7), &error), "a server", error);
     LoneLeader node(scope_, LeaderSettings(1, kLease), StateAt(7));
     lead::Leadership& lead = node.lead;
     while (!lead.leading()) co_await Pause(0.01);
@@ -662,7 +662,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(4), &error)) << error;
+    RequireStarted(state.Listen(At(4), &error), "a server", error);
     store::Client client(scope_, StateAt(4));
     std::map<std::string, std::string> copy;
     store::Replica replica(scope_, client, 0.5,
@@ -715,7 +715,7 @@
   rt::Task<> Script() {
     std::string error;
     standins::State state(scope_);
-    EXPECT_TRUE(state.Listen(At(5), &error)) << error;
+    RequireStarted(state.Listen(At(5), &error), "a server", error);
     state.SetLimits({0, 0, 20});
     store::Client::Options options = StateAt(5);
     options.write_rps = 100;
@@ -736,5 +736,57 @@
 
 TEST_F(LowerRates, AreKeptToFromTheFirstRefusalOn) { Run(Script()); }
 
+// A loop of one thread that sends itself one letter over and over.
+class LetterLoop {
+ public:
+  explicit LetterLoop(char letter) : letter_(letter) {
+    int ends[2];
+    RequireStarted(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0, "a pair", "");
+    from_.emplace(net::Fd(ends[0]));
+    to_.emplace(net::Fd(ends[1]));
+  }
+  // How many other letters came.
+  size_t Run() {
+    scope_.Spawn(Send());
+    scope_.Spawn(Receive());
+    loop_.Run();
+    return others_;
+  }
+
+ private:
+  static constexpr size_t kBlock = size_t{64} * 1024;
+  static constexpr size_t kBlocks = 300;
+
+  rt::Task<> Send() {
+    const std::string block(kBlock, letter_);
+    for (size_t i = 0; i < kBlocks; ++i) co_await to_->Write(scope_, block, loop_.Now() + 30);
+  }
+  rt::Task<> Receive() {
+    for (size_t received = 0; received < kBlocks * kBlock;) {
+      std::string data;
+      bool read = co_await from_->Read(scope_, data, loop_.Now() + 30);
+      if (!read) break;
+      received += data.size();
+      others_ += data.size() - static_cast<size_t>(std::count(data.begin(), data.end(), letter_));
+    }
+    loop_.Stop();
+  }
+
+  const char letter_;
+  rt::Loop loop_;
+  rt::Scope scope_{loop_};
+  std::optional<net::Stream> from_, to_;
+  size_t others_ = 0;
+};
+
+// A console's loop in a thread beside a node's once read what the node had just received.
+TEST(StreamTest, LoopsOfTwoThreadsReadWhatWasSentToEach) {
+  size_t others = 0;
+  std::thread console([&] { others = LetterLoop('c').Run(); });
+  EXPECT_EQ(LetterLoop('n').Run(), 0U);
+  console.join();
+  EXPECT_EQ(others, 0U);
+}
+
 }  // namespace
 }  // namespace hallpier
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <random>
 
 #include "wire/varint.h"
 
@@ -97,5 +98,145 @@
   EXPECT_FALSE(ReadPeerMessage("\x63")) << "an unknown type";
 }
 
+// Valid messages of every type, with numbers at and near the bounds of what a field holds.
+class RandomMessages {
+ private:
+  bool Flag() { return Below(2) == 1; }
+  uint64_t Below(uint64_t most) {
+    return std::uniform_int_distribution<uint64_t>(0, most - 1)(random_);
+  }
+  uint64_t Number() {
+    constexpr uint64_t kMax = std::numeric_limits<uint64_t>::max();
+    constexpr uint64_t kEdges[] = {0,     1,          127,        128,      16383,
+                                   16384, 1ULL << 32, 1ULL << 63, kMax - 1, kMax};
+    return Flag() ? kEdges[Below(std::size(kEdges))] : Below(kMax);
+  }
+  std::string Text() {
+    std::string text(Flag() ? Below(3) : Below(400), '\0');
+    for (char& c : text) c = static_cast<char>(Below(256));
+    return text;
+  }
+  template <class F>
+  auto Several(F make) {
+    std::vector<decltype(make())> all;
+    for (uint64_t n = Below(6); n > 0; --n) all.push_back(make());
+    return all;
+  }
+  MemberState State() { return static_cast<MemberState>(Below(4)); }
+  Incarnation Life() { return {Number(), Number()}; }
+  MemberStatus Status() {
+    auto observe = [this] {
+      // The largest is kept as one less, since 0 stands for never.
+      auto heard = Flag() ? std::optional(std::min(Number(), kLongestHeard)) : std::nullopt;
+      return MemberObservation{Text(), Life(), State(), heard};
+    };
+    return {Text(), Life(),          State(), {Flag(), Flag(), Number(), Number()},
+            Text(), Several(observe)};
+  }
+  MembersReport Report() {
+    auto row = [this] {
+      auto accusers = Several([this] { return Text(); });
+      return MemberRow{Text(), Life(), State(), Flag(), Flag(), Number(), accusers, Text()};
+    };
+    return {Text(), Flag(), Several(row), Text(), Text(), Number()};
+  }
+
+  static constexpr uint64_t kLongestHeard = std::numeric_limits<uint64_t>::max() - 1;
+  std::mt19937_64 random_;
+
+ public:
+  explicit RandomMessages(uint64_t seed) : random_(seed) {}
+
+  PeerMessage OfType(size_t type) {
+    switch (type) {
+      case 0:
+        return PeerStatus{Text(), Number(), Flag(), Flag()};
+      case 1:
+        return RelayRequest{Number(), {.method = Text(), .target = Text(), .body = Text()}};
+      case 2:
+        return RelayAnswer{Number(), Flag(), {.status = 599, .body = Text()}};
+      case 3:
+        return CancellationReportRequest{Number()};
+      case 4:
+        return CancellationReport{Flag(), Number(), Several([this] {
+                                    return Cancellation{Text(), Number()};
+                                  })};
+      case 5:
+        return CancelNotice{{Text(), Number()}};
+      case 6:
+        return MemberProbe{Number(), Status()};
+      case 7:
+        return MemberAnswer{Number(), Status()};
+      case 8:
+        return MembersRequest{};
+      default:
+        return Report();
+    }
+  }
+};
+
+TEST(PeerMessages, WhateverANodeMayWriteIsReadAsWritten) {
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    RandomMessages messages(seed);
+    for (size_t type = 0; type < std::variant_size_v<PeerMessage>; ++type) {
+      const PeerMessage message = messages.OfType(type);
+      ASSERT_EQ(message.index(), type);
+      const std::string payload = WritePeerMessage(message);
+      std::string fault;
+      const auto back = ReadPeerMessage(payload, &fault);
+      ASSERT_TRUE(back) << "seed " << seed << ": " << fault;
+      EXPECT_EQ(back->index(), type);
+      EXPECT_EQ(WritePeerMessage(*back), payload) << "seed " << seed << ", type " << type;
+      if (const auto* report = std::get_if<MembersReport>(&message)) {
+        EXPECT_EQ(std::get<MembersReport>(*back), *report) << "seed " << seed;
+      }
+    }
+  }
+}
+
+// Heard so long ago that the number has no successor.
+TEST(PeerMessages, TheLongestTimeSinceANodeWasHeardIsNotNever) {
+  MemberProbe probe;
+  probe.status.observations = {
+      {"node-1", {}, MemberState::kAlive, std::numeric_limits<uint64_t>::max()}};
+  const auto back = ReadPeerMessage(WritePeerMessage(probe));
+  ASSERT_TRUE(back);
+  EXPECT_TRUE(std::get<MemberProbe>(*back).status.observations.at(0).heard_ms_ago);
+}
+
+std::string FaultOf(const std::string& payload) {
+  std::string fault;
+  EXPECT_FALSE(ReadPeerMessage(payload, &fault));
+  return fault;
+}
+
+TEST(PeerMessages, AFaultNamesTheMessageAndTheField) {
+  EXPECT_EQ(FaultOf("\x63"), "a message of an unknown type: the type of a message can't be 99");
+  EXPECT_EQ(FaultOf(WritePeerMessage(MembersRequest{}) + "x"),
+            "a request for members: more than it should be");
+  std::string report = WritePeerMessage(MembersReport{});
+  EXPECT_EQ(FaultOf(report.substr(0, report.size() - 1)), "a report of members: cut short");
+  constexpr size_t kRowCount = 3;  // behind the type, an empty name and a flag
+  std::string rows = report.substr(0, kRowCount);
+  PutVarint(rows, 10001);
+  EXPECT_EQ(FaultOf(rows), "a report of members: the number of members can't be 10001");
+  MembersReport one;
+  one.rows.push_back({"", {0, 0}, MemberState::kLeft, true, false, 0, {}, ""});
+  std::string state = WritePeerMessage(one);
+  constexpr size_t kState = kRowCount + 1 + 3;  // behind the count, a name and an incarnation
+  ASSERT_EQ(state[kState], static_cast<char>(MemberState::kLeft));
+  state[kState] = 4;
+  EXPECT_EQ(FaultOf(state), "a report of members: a member's state can't be 4");
+  std::string answer = WritePeerMessage(RelayAnswer{0, true, {.status = 0, .body = ""}});
+  answer.resize(3);  // the type, an id and a flag
+  PutVarint(answer, 1000);
+  EXPECT_EQ(FaultOf(answer), "a relayed answer: the status of a relayed answer can't be 1000");
+}
+
+TEST(PeerMessages, EachHasAName) {
+  EXPECT_EQ(PeerMessageName(PeerStatus{}), "a status");
+  EXPECT_EQ(PeerMessageName(MembersReport{}), "a report of members");
+}
+
 }  // namespace
 }  // namespace hallpier::wire
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -63,7 +63,7 @@
     StartServices(kNodes);
     WatchState();
     char name[] = "/tmp/hallpier-process-test-XXXXXX";
-    ASSERT_NE(mkdtemp(name), nullptr);
+    RequireStarted(mkdtemp(name) != nullptr, "a folder for the test", name);
     folder_ = name;
     Write("operator.conf", "leader_ttl_ratio = 4\nmembership {\n  enabled = true\n}\n");
     for (int i = 0; i < kNodes; ++i) {
--- a/tests/standins/standins.cc
+++ b/tests/standins/standins.cc
@@ -512,7 +512,7 @@
       wire::Listed l;
       std::string number = std::to_string(next_);
       l.machine = "vm-" + std::string(6 - number.size(), '0') + number;
-      l.endpoint = "127.0.0.1:" + std::to_string(options_.first_port + next_);
+      l.endpoint = "127.0.0.1:" + std::to_string(options_.first_port + next_ % options_.ports);
       l.flavor = "c4";
       l.zone = *wire::GetText(*d, "hall");
       l.spot = *wire::GetFlag(*d, "lendable");
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -127,6 +127,8 @@
     double lease_s = 45;
     double run_s = 1;  // of every task
     int first_port = 0;
+    // Of machines, used in turn: far more than there ever are machines at a time.
+    int ports = 1000;
   };
   Cloud(rt::Scope& scope, Options options);
   ~Cloud();
