--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,5 +1,5 @@
-// A leader that is cut from the state service and the other controllers starts a task of a job that
-// another controller has confirmed as cancelled.
+// A leader that is cut from the state service and the other controllers, and has a successor, starts a
+// task of a job that the successor has confirmed as cancelled.
 #include "../lib/standin.h"
 
 using namespace standin;
@@ -56,19 +56,27 @@
   }
   Worker* machine = cloud.machines().at(0);
   // The leader is the controller that the machine's reports were answered by.
+  auto node_of = [&](const std::string& name) {
+    for (int i = 0; i < 3; ++i)
+      if (c.name(i) == name) return i;
+    return -1;
+  };
+  // Right after a report of the idle machine, so that its next one comes 7.5 to 12.5 s later.
+  while (machine->tasks() > 0) {
+    if (Now() > 60) Finish(2, "the machine did not become idle");
+    SleepS(0.02);
+  }
+  SleepS(1);  // it tells of that at once
   const double last_report = machine->last_answered_at();
-  int leader = -1;
-  for (int i = 0; i < 3; ++i)
-    if (c.name(i) == machine->answered_by()) leader = i;
-  if (leader < 0) Finish(2, "no leader");
-  const int other = (leader + 1) % 3;
-  Record("leader: %s", c.name(leader).c_str());
-  // Right after a report of the machine, so that its next one comes 7.5 to 12.5 s later.
   while (machine->last_answered_at() == last_report) {
     if (Now() > 75) Finish(2, "the machine did not report");
     SleepS(0.02);
   }
-  SleepS(0.3);
+  const int leader = node_of(machine->answered_by());
+  if (leader < 0) Finish(2, "no leader");
+  const int other = (leader + 1) % 3;
+  Record("leader: %s", c.name(leader).c_str());
+  SleepS(0.2);
 
   // The machine is cut for a few seconds: commands to it are reset.
   const bool trouble = Trouble();
@@ -92,12 +100,24 @@
     c.CutState(leader, true);
     c.CutPeers(leader, true);
   }
-  SleepS(0.2);
-  Response r = Call(c.port(other), "POST", "/submissions/" + job + "/withdraw", "{}", 3);
+  // Until another controller leads; seen in the leader's record, which serves the timing alone.
+  int cancel_at = other;
+  for (const double limit = Steady() + 12; trouble; SleepS(0.02)) {
+    Doc record;
+    record.Parse(state.Value("hallpier/a/leader").c_str());
+    const int now_leads =
+        record.HasParseError() || !record.IsObject() ? -1 : node_of(Text(record, "node"));
+    if (now_leads >= 0 && now_leads != leader) {
+      cancel_at = now_leads;
+      Record("%s leads now", c.name(now_leads).c_str());
+      break;
+    }
+    if (Steady() > limit) Finish(2, "no other controller took the lead");
+  }
+  Response r = Call(c.port(cancel_at), "POST", "/submissions/" + job + "/withdraw", "{}", 3);
   g_told = Steady();
-  Record("user: withdraw %s at %s: %d %s", job.c_str(), c.name(other).c_str(), r.status, r.body.c_str());
+  Record("user: withdraw %s at %s: %d %s", job.c_str(), c.name(cancel_at).c_str(), r.status, r.body.c_str());
   if (r.status != 200 || PhaseOf(r) != "cancelled") Finish(2, "the job was not cancelled at once");
-  SleepS(0.5);
   if (trouble) {
     machine->cut = false;
     Record("%s is no longer cut", machine->options().host.c_str());
