A leader starts tasks only under a start lease; cancellations are told once nobody can start their tasks

Cause: a leader that can't reach the state service answers workers for half of their lease, and nothing bounded for how long it starts tasks from its old watch cache: CommandSource::CacheIsCurrent passes a cache of any age. On the other side, a node told its user "cancelled" as soon as the cancellation was recorded, whether or not the leader knew. The same held for direct commands, commands after a pause or a handover, and for whichever node was asked.

Change: a leader starts tasks of a job only within 1 s after a time up to which it knows all cancellations of the job (cache confirmed, reports of all nodes, or a commit under the unchanged job's record); otherwise the answer or direct command waits for a shared read, and without it only the starts are left out. Direct commands are checked again when they are written to their connection. A node tells "cancelled", whatever it was asked, once the leader has confirmed the notice or there is none and former leaders' start leases are over, at the latest 1.1 s after it learned of the cancellation.

Why it works: who confirms has seen all terms up to the cancellation's revision; later leaders read it before they command; earlier ones have confirmed it, or their lease has run out.

--- a/src/api/user_api.cc
+++ b/src/api/user_api.cc
@@ -195,6 +195,17 @@
   co_return std::nullopt;
 }
 
+async::Task<wire::HttpResponse> UserApi::RespondWithStatus(std::string id, JobLookup found) {
+  const jobs::Job* job = deps_.job_table->Find(id);
+  if (found.kind == JobLookup::Kind::kActive &&
+      (found.job.cancelled || (job != nullptr && job->cancelled))) {
+    // The job's records may be deleted during the wait.
+    found.job.cancelled = true;
+    co_await deps_.await_cancellation_effective(id);
+  }
+  co_return StatusResponse(id, found);
+}
+
 wire::HttpResponse UserApi::StatusResponse(const std::string& id, const JobLookup& found) const {
   if (found.kind == JobLookup::Kind::kFinal) {
     model::JobStatus status;
@@ -248,7 +259,9 @@
       JobLookup found = co_await LookupWithDependencies(id);
       if (found.kind == JobLookup::Kind::kUnknown)
         co_return Unavailable("the state service is not there");
-      if (found.kind != JobLookup::Kind::kNotFound) co_return StatusResponse(id, found);
+      if (found.kind != JobLookup::Kind::kNotFound) {
+        co_return co_await RespondWithStatus(id, std::move(found));
+      }
     }
     if (!spec) co_return Answer(400, wire::WriteError(spec.error().reason, spec.error().field));
     co_return Answer(422, wire::WriteError(infeasible->reason, infeasible->field));
@@ -261,7 +274,7 @@
   }
   JobLookup found = co_await LookupWithDependencies(id);
   if (found.kind == JobLookup::Kind::kActive || found.kind == JobLookup::Kind::kFinal) {
-    co_return StatusResponse(id, found);
+    co_return co_await RespondWithStatus(id, std::move(found));
   }
   co_return Unavailable("the state service is not there");
 }
@@ -326,7 +339,7 @@
     co_return Answer(404, wire::WriteError("no such job"));
   if (found.kind == JobLookup::Kind::kUnknown)
     co_return Unavailable("the state service is not there");
-  co_return StatusResponse(id, found);
+  co_return co_await RespondWithStatus(std::move(id), std::move(found));
 }
 
 async::Task<wire::HttpResponse> UserApi::Cancel(std::string id) {
@@ -342,8 +355,10 @@
     if (found.kind == JobLookup::Kind::kFinal) {
       co_return Answer(200, wire::WriteJobPhase(id, found.final_record.phase));
     }
-    if (found.job.cancelled)
+    if (found.job.cancelled) {
+      co_await deps_.await_cancellation_effective(id);
       co_return Answer(200, wire::WriteJobPhase(id, model::JobPhase::kCancelled));
+    }
     const std::string key = store::JobKey(id);
     const std::string value = store::WriteCancelledJob(std::move(found.job), max_bytes);
     std::vector<model::Precondition> preconditions = {{key, found.version}};
@@ -356,6 +371,7 @@
       deps_.cache->ApplyAheadOfWatch(key, value, result.value.revision);
       deps_.broadcast_cancellation(id, result.value.revision);
       spdlog::info("cancel: recorded job={}", id);
+      co_await deps_.await_cancellation_effective(id);
       co_return Answer(200, wire::WriteJobPhase(id, model::JobPhase::kCancelled));
     }
     if (result.status == store::Status::kInvalid && value.size() > smallest_limit_bytes) {
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -38,6 +38,9 @@
     // Waits until the watch cache contains the outcomes of all jobs that a job depends on. Returns
     // false if that takes longer than `limit_s` seconds.
     std::function<async::Task<bool>(std::string id, double limit_s)> wait_for_dependencies;
+    // Waits until the cancellation of a job is effective: from then on no controller starts a task
+    // of the job, so that the cancellation may be reported to users.
+    std::function<async::Task<>(std::string id)> await_cancellation_effective;
     // Notifies the other nodes of a cancellation that was just recorded with this version.
     std::function<void(const std::string& id, uint64_t version)> broadcast_cancellation;
   };
@@ -79,6 +82,9 @@
       std::vector<std::string> dependencies, bool* cancelled);
   // Records the job. Returns the response; std::nullopt if the job exists already.
   async::Task<std::optional<wire::HttpResponse>> Accept(model::JobSpec spec);
+  // Returns the response with the state of an accepted job. Reports a cancellation only once it is
+  // effective.
+  async::Task<wire::HttpResponse> RespondWithStatus(std::string id, JobLookup found);
   wire::HttpResponse StatusResponse(const std::string& id, const JobLookup& found) const;
   // Returns the job's final state if it is cached; otherwise kind is kUnknown.
   JobLookup FindCachedFinal(const std::string& id) const;
--- a/src/controller/cancellation_exchange.cc
+++ b/src/controller/cancellation_exchange.cc
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "store/keys.h"
 #include "store/records.h"
 #include "wire/peer_codec.h"
@@ -52,9 +54,14 @@
   watermark_.OnCancellationReport(node, requested_at, report);
 }
 
-void CancellationExchange::OnCancellation(const wire::Cancellation& cancellation) const {
-  // A job that is unknown here has no tasks that this node manages; its record will arrive with the
-  // cancellation included.
+void CancellationExchange::OnCancellation(const wire::Cancellation& cancellation) {
+  // The record of a job that is unknown here may still arrive in a version from before the
+  // cancellation.
+  if (services_.job_table->Find(cancellation.job) == nullptr &&
+      services_.cache->revision() < cancellation.version) {
+    uint64_t& version = unknown_cancelled_jobs_[cancellation.job];
+    version = std::max(version, cancellation.version);
+  }
   auto record = services_.job_table->CancelledRecord(cancellation.job);
   if (!record) return;
   spdlog::info("cancel: reported by a peer job={}", cancellation.job);
@@ -67,4 +74,12 @@
   return watermark_.MayRenewLeases(services_.scope->loop().Now());
 }
 
+bool CancellationExchange::MayStartTasks(const std::string& job) {
+  watermark_.OnCacheConfirmed(services_.cache->current_as_of());
+  std::erase_if(unknown_cancelled_jobs_,
+                [this](const auto& entry) { return entry.second <= services_.cache->revision(); });
+  return !unknown_cancelled_jobs_.contains(job) &&
+         watermark_.MayStartTasks(services_.scope->loop().Now());
+}
+
 }  // namespace hallpier::controller
--- a/src/controller/cancellation_exchange.h
+++ b/src/controller/cancellation_exchange.h
@@ -3,7 +3,9 @@
 // leases may be renewed (election/cancellation_watermark.h). Owned by the controller; does no I/O.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -28,14 +30,19 @@
   void OnReport(const std::string& node, double requested_at,
                 const wire::CancellationReport& report);
   // Applies a cancellation that another node has recorded, ahead of the watch.
-  void OnCancellation(const wire::Cancellation& cancellation) const;
+  void OnCancellation(const wire::Cancellation& cancellation);
   // True while workers' leases may be renewed without missing an acknowledged cancellation.
   bool MayRenewWorkerLeases();
+  // True while tasks of a job may be started without missing an acknowledged cancellation.
+  bool MayStartTasks(const std::string& job);
 
  private:
   const NodeServices& services_;
   const std::function<int()> pending_cancellations_;
   election::CancellationWatermark watermark_;
+  // Cancelled jobs, with the revision of the cancellation, that this node did not know when it
+  // learned of the cancellation. Kept until the watch cache has reached that revision.
+  std::map<std::string, uint64_t> unknown_cancelled_jobs_;
 };
 
 }  // namespace hallpier::controller
--- a/src/controller/command_dispatcher.cc
+++ b/src/controller/command_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "controller/command_dispatcher.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 
 #include "fleet/reconciliation.h"
@@ -70,7 +71,14 @@
   async::Scope& term = *term_;
   fleet::Machine* worker = registry_.Find(machine);
   if (!IsReachable(worker) || !services_.election->MayAct()) co_return false;
+  if (command_source_.ShouldAwaitStartPermission(*worker)) {
+    co_await command_source_.AwaitStartPermission(machine);
+    worker = registry_.Find(machine);
+    if (term.cancelled() || !IsReachable(worker) || !services_.election->MayAct()) co_return false;
+  }
   const model::FencingToken token = registry_.token();
+  // Starts that the commands for cancelled tasks could not wait for.
+  const bool starts_remain = command_source_.OmitsStarts(*worker);
   auto commands = command_source_.CommandsFor(*worker, true);
   // There are no commands if a heartbeat has fetched them in the meantime or if they have to wait
   // until the watch cache is current. With a current cache, a worker that does not know our token
@@ -81,15 +89,26 @@
       .method = "POST",
       .target = "/commands",
       .body = wire::WriteDirectCommands(token, worker->agent.epoch, commands)};
-  auto response = co_await worker_client_.Call(
-      term, worker->endpoint, std::move(request),
-      kCommandTimeoutRatio * services_.settings->heartbeat_interval_s, false);
+  // The connection may take a while. Until it is established, a task may be cancelled, or another
+  // node may acknowledge a cancellation that this node does not know.
+  bool withheld = false;
+  std::function<bool()> may_send = [&] {
+    withheld = !command_source_.MayStillSend(commands);
+    return !withheld;
+  };
+  auto response = co_await worker_client_.Call(term, worker->endpoint, std::move(request),
+                                               TimeoutS(), false, may_send);
   const bool answered = response && (response->status == kOk || response->status == kConflict);
   if (answered) OnStatusReport(response->body, token);
-  fleet::OnDirectCommandFinished(registry_, machine, commands, token, answered);
+  fleet::OnDirectCommandFinished(registry_, machine, commands, token, answered || withheld);
+  if (withheld || (answered && starts_remain)) queue_.Request(machine);
   co_return true;
 }
 
+double CommandDispatcher::TimeoutS() const {
+  return kCommandTimeoutRatio * services_.settings->heartbeat_interval_s;
+}
+
 void CommandDispatcher::OnStatusReport(const std::string& body, model::FencingToken token) {
   auto report = wire::ReadHeartbeat(body);
   if (!report) return;
--- a/src/controller/command_dispatcher.h
+++ b/src/controller/command_dispatcher.h
@@ -36,6 +36,8 @@
   // True if a machine and its endpoint are known, it has reported, and it has not left its last
   // direct command unanswered.
   static bool IsReachable(const fleet::Machine* machine);
+  // Returns the timeout of a direct command in seconds.
+  double TimeoutS() const;
   // Handles the status report in a worker's response. `token` is the token that the command was
   // sent with.
   void OnStatusReport(const std::string& body, model::FencingToken token);
--- a/src/controller/command_source.cc
+++ b/src/controller/command_source.cc
@@ -1,8 +1,21 @@
 #include "controller/command_source.h"
 
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "controller/start_permission.h"
 #include "fleet/reconciliation.h"
 
 namespace hallpier::controller {
+namespace {
+
+// Longest time that commands wait for the permission to start tasks, which is about two reads of
+// the state service. Workers wait 4 s for a response.
+constexpr double kMaxPermissionWaitS = 1.5;
+
+}  // namespace
 
 void CommandSource::BeginTerm() { term_revision_ = services_.election->token().value(); }
 
@@ -11,8 +24,45 @@
          services_.cache->current_as_of() >= services_.scope->loop().resumed_at();
 }
 
+bool CommandSource::OmitsStarts(const fleet::Machine& machine) const {
+  return CacheIsCurrent() &&
+         fleet::OmitsStarts(registry_, machine, *services_.job_table, [this](const auto& job) {
+           return services_.start_permission->MayStart(job);
+         });
+}
+
+bool CommandSource::ShouldAwaitStartPermission(const fleet::Machine& machine) const {
+  return OmitsStarts(machine) && fleet::CancellationCommands(machine, *services_.job_table).empty();
+}
+
+async::Task<> CommandSource::AwaitStartPermission(std::string machine) {
+  std::function<bool()> has_permission = [this, machine] {
+    const fleet::Machine* found = registry_.Find(machine);
+    return found == nullptr || !OmitsStarts(*found);
+  };
+  const bool permitted =
+      co_await services_.start_permission->Await(has_permission, kMaxPermissionWaitS);
+  if (!permitted) {
+    spdlog::info("reconcile: starts withheld machine={} reason=cancellations may be unknown",
+                 machine);
+  }
+}
+
+bool CommandSource::MayStillSend(const std::vector<model::WorkerCommand>& commands) const {
+  return std::all_of(commands.begin(), commands.end(), [this](const model::WorkerCommand& command) {
+    if (command.kind != model::CommandKind::kRun) return true;
+    const jobs::Job* job = services_.job_table->Find(command.task.job);
+    return job != nullptr && !job->cancelled &&
+           services_.start_permission->MayStart(command.task.job);
+  });
+}
+
 std::vector<model::WorkerCommand> CommandSource::CommandsFor(fleet::Machine& machine, bool direct) {
-  if (CacheIsCurrent()) return fleet::Reconcile(registry_, machine, *services_.job_table, direct);
+  if (CacheIsCurrent()) {
+    return fleet::Reconcile(
+        registry_, machine, *services_.job_table, direct,
+        [this](const auto& job) { return services_.start_permission->MayStart(job); });
+  }
   // After a pause during an outage, leases are renewed based on the reports of the other nodes
   // while the watch cache can't be confirmed. A cancellation from these reports must still be
   // carried out; it is valid whatever else has been recorded.
--- a/src/controller/command_source.h
+++ b/src/controller/command_source.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
+#include "async/wait.h"
 #include "controller/node_services.h"
 #include "fleet/worker_registry.h"
 #include "model/heartbeat.h"
@@ -24,9 +26,22 @@
   // would be stopped or forgotten as unrecorded. After a pause of the process it must catch up
   // again, since a task may have been cancelled in the meantime.
   bool CacheIsCurrent() const;
-  // Returns the commands for a machine. If `direct`, the caller sends them as a direct command and
-  // must call fleet::OnDirectCommandFinished() when it ends. Otherwise the caller sends them in the
-  // response to a heartbeat.
+  // True if CommandsFor() would omit a start because this node may not know the newest
+  // cancellations.
+  bool OmitsStarts(const fleet::Machine& machine) const;
+  // True if the machine's commands should wait for the permission to start its tasks: it has starts
+  // that would be omitted, and no task to stop because of a cancellation.
+  bool ShouldAwaitStartPermission(const fleet::Machine& machine) const;
+  // Waits for a short time until no start for a machine has to be omitted. Callers compute the
+  // commands afterwards in any case.
+  async::Task<> AwaitStartPermission(std::string machine);
+  // True if commands that CommandsFor() has returned may still be sent: the jobs of all tasks that
+  // they start may be started and are not cancelled.
+  bool MayStillSend(const std::vector<model::WorkerCommand>& commands) const;
+  // Returns the commands for a machine, without starts of tasks that may have been cancelled. If
+  // `direct`, the caller sends them as a direct command and must call
+  // fleet::OnDirectCommandFinished() when it ends. Otherwise the caller sends them in the response
+  // to a heartbeat.
   std::vector<model::WorkerCommand> CommandsFor(fleet::Machine& machine, bool direct);
 
  private:
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -111,12 +111,19 @@
                            ? std::make_unique<BlockPlacementLoop>(services_)
                            : nullptr),
       linearizable_read_(root_scope_, client_, cache_, kReadBarrierTimeoutS),
+      start_permission_(root_scope_, cancellations_, linearizable_read_),
+      cancellation_fence_(services_,
+                          [this](std::string node, wire::CancelNotice notice, double limit_s) {
+                            return peers_.DeliverCancellation(std::move(node), std::move(notice),
+                                                              limit_s);
+                          }),
       user_api_(UserApiDependencies()),
       router_(services_, leader_, user_api_, membership_, peers_),
       server_(root_scope_, ServerLimits(settings_),
               [this](wire::HttpRequest request) { return router_.Handle(std::move(request)); }),
       peers_(root_scope_, settings_, PeerHooks()),
-      record_dispatcher_(services_, leader_, dependency_outcomes_, membership_, block_placement_) {
+      record_dispatcher_(services_, leader_, cancellation_fence_, dependency_outcomes_, membership_,
+                         block_placement_) {
   loop.DetectPauses(election_.MaxRenewalGapS());
   client_.SetRelay([this](wire::HttpRequest request) { return peers_.Relay(std::move(request)); });
 }
@@ -133,6 +140,7 @@
   services.machine_types = &machine_types_;
   services.block_records = &block_records_;
   services.election = &election_;
+  services.start_permission = &start_permission_;
   services.time_of_day = TimeOfDay;
   services.membership_session = [this] { return membership_ ? membership_->session() : 0; };
   services.send_to_node = [this](const std::string& node, const wire::PeerMessage& message) {
@@ -169,6 +177,9 @@
   dependencies.wait_for_dependencies = [this](std::string id, double limit_s) {
     return dependency_outcomes_.AwaitResolved(std::move(id), limit_s);
   };
+  dependencies.await_cancellation_effective = [this](std::string id) {
+    return cancellation_fence_.AwaitEffective(std::move(id));
+  };
   dependencies.broadcast_cancellation = [this](const std::string& id, uint64_t version) {
     peers_.BroadcastCancellation({{id, version}});
   };
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -13,6 +13,7 @@
 #include "config/settings.h"
 #include "controller/block_placement_loop.h"
 #include "controller/cancellation_exchange.h"
+#include "controller/cancellation_fence.h"
 #include "controller/dependency_outcomes.h"
 #include "controller/leader.h"
 #include "controller/node_election_policy.h"
@@ -20,6 +21,7 @@
 #include "controller/node_shutdown.h"
 #include "controller/record_dispatcher.h"
 #include "controller/request_router.h"
+#include "controller/start_permission.h"
 #include "election/leader_election.h"
 #include "membership/service.h"
 #include "model/machine_type.h"
@@ -73,6 +75,8 @@
   Leader leader_;
   std::unique_ptr<BlockPlacementLoop> block_placement_;  // null if blocks are disabled
   store::LinearizableRead linearizable_read_;
+  StartPermission start_permission_;
+  CancellationFence cancellation_fence_;
   api::UserApi user_api_;
   RequestRouter router_;
   net::HttpServer server_;
--- a/src/controller/heartbeat_handler.cc
+++ b/src/controller/heartbeat_handler.cc
@@ -1,5 +1,6 @@
 #include "controller/heartbeat_handler.h"
 
+#include "wire/user_codec.h"
 #include "wire/worker_codec.h"
 
 namespace hallpier::controller {
@@ -7,24 +8,35 @@
 
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
-wire::HttpResponse HeartbeatHandler::OnHeartbeat(const model::Heartbeat& report) {
+async::Task<wire::HttpResponse> HeartbeatHandler::OnHeartbeat(model::Heartbeat report) {
   if (report.token > registry_.token()) {
     services_.election->OnTokenSeen(report.token);
-    return {.status = kMisdirected, .body = wire::WriteRedirect("")};
+    co_return wire::HttpResponse{.status = kMisdirected, .body = wire::WriteRedirect("")};
   }
-  const double now = services_.scope->loop().Now();
-  if (registry_.OnHeartbeat(report, now, false)) trigger_.Request();
+  if (registry_.OnHeartbeat(report, services_.scope->loop().Now(), false)) trigger_.Request();
   fleet::Machine* machine = registry_.Find(report.machine);
+  if (machine->IsNewestStatus(report) && command_source_.ShouldAwaitStartPermission(*machine)) {
+    const model::FencingToken token = registry_.token();
+    co_await command_source_.AwaitStartPermission(report.machine);
+    machine = registry_.Find(report.machine);
+    if (machine == nullptr || registry_.token() != token || !services_.election->MayAct()) {
+      co_return wire::HttpResponse{.status = kUnavailable,
+                                   .body = wire::WriteError("not entitled to act")};
+    }
+  }
+  const double now = services_.scope->loop().Now();
   std::vector<model::WorkerCommand> commands;
   // A heartbeat that arrives after a newer one gets a response without commands.
   const bool is_newest = machine->IsNewestStatus(report);
   if (is_newest) commands = command_source_.CommandsFor(*machine, false);
   // Recorded before the response is sent: from now on the worker may consider its lease renewed.
   registry_.OnResponseSent(report, commands, now);
-  return {.status = kOk, .body = wire::WriteHeartbeatResponse(registry_.token(), commands)};
+  co_return wire::HttpResponse{.status = kOk,
+                               .body = wire::WriteHeartbeatResponse(registry_.token(), commands)};
 }
 
 }  // namespace hallpier::controller
--- a/src/controller/heartbeat_handler.h
+++ b/src/controller/heartbeat_handler.h
@@ -2,6 +2,7 @@
 // commands. Owned by the leader.
 #pragma once
 
+#include "async/wait.h"
 #include "controller/command_source.h"
 #include "controller/node_services.h"
 #include "controller/round_trigger.h"
@@ -22,9 +23,10 @@
         trigger_(trigger) {}
 
   // Returns the response to a heartbeat: 200 with commands, which renews the worker's lease, or 421
-  // if the worker knows a higher token, which ends our term. Requires that this node leads and that
-  // LeaderElection::MayAct is true.
-  wire::HttpResponse OnHeartbeat(const model::Heartbeat& report);
+  // if the worker knows a higher token, which ends our term. If the machine has tasks to start and
+  // this node may lack a cancellation, waits for a short time until it knows better; returns 503 if
+  // the term ends meanwhile. Requires that this node leads and that LeaderElection::MayAct is true.
+  async::Task<wire::HttpResponse> OnHeartbeat(model::Heartbeat report);
 
  private:
   const NodeServices& services_;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "controller/block_coordinator.h"
 #include "controller/command_dispatcher.h"
@@ -39,8 +40,8 @@
   // other jobs depend on.
   void RequestRound() { trigger_.Request(); }
   // Returns the response to a worker's heartbeat (HeartbeatHandler::OnHeartbeat).
-  wire::HttpResponse OnHeartbeat(const model::Heartbeat& report) {
-    return heartbeat_handler_.OnHeartbeat(report);
+  async::Task<wire::HttpResponse> OnHeartbeat(model::Heartbeat report) {
+    return heartbeat_handler_.OnHeartbeat(std::move(report));
   }
   // Returns the number of machines that have reported and are not being terminated.
   size_t ReportingMachineCount() const;
--- a/src/controller/node_services.h
+++ b/src/controller/node_services.h
@@ -20,6 +20,8 @@
 
 namespace hallpier::controller {
 
+class StartPermission;
+
 struct NodeServices {
   // The scope of the node's coroutines; cancelled when the node shuts down.
   async::Scope* scope;
@@ -33,6 +35,7 @@
   std::vector<model::MachineType>* machine_types;
   blocks::BlockRecords* block_records;
   election::LeaderElection* election;
+  StartPermission* start_permission;
   // Returns the wall-clock time in seconds since the epoch.
   std::function<double()> time_of_day;
   // Returns the membership session of this process, or 0 if it has none.
--- a/src/controller/record_dispatcher.cc
+++ b/src/controller/record_dispatcher.cc
@@ -69,6 +69,7 @@
 
 void RecordDispatcher::OnJob(const store::JobKeyName& key, const std::string& value) {
   services_.job_table->ApplyInBatch(key, value);
+  cancellation_fence_.OnJobChanged(key.job);
   dependency_outcomes_.OnJobsChanged();
   leader_.OnJobChanged(key.job);
   RequestBlockRound();
--- a/src/controller/record_dispatcher.h
+++ b/src/controller/record_dispatcher.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "controller/block_placement_loop.h"
+#include "controller/cancellation_fence.h"
 #include "controller/dependency_outcomes.h"
 #include "controller/leader.h"
 #include "controller/node_services.h"
@@ -21,11 +22,12 @@
   // Stores references to its arguments, which may be constructed after it but must outlive it.
   // `membership` and `block_placement` are null if these components are disabled.
   RecordDispatcher(const NodeServices& services, Leader& leader,
-                   DependencyOutcomes& dependency_outcomes,
+                   CancellationFence& cancellation_fence, DependencyOutcomes& dependency_outcomes,
                    const std::unique_ptr<membership::Service>& membership,
                    const std::unique_ptr<BlockPlacementLoop>& block_placement)
       : services_(services),
         leader_(leader),
+        cancellation_fence_(cancellation_fence),
         dependency_outcomes_(dependency_outcomes),
         membership_(membership),
         block_placement_(block_placement) {}
@@ -34,7 +36,7 @@
   void OnRecordChanged(const std::string& key, const std::string& value);
   // Handles the end of a batch of changed records, all of which have been passed to
   // OnRecordChanged().
-  void OnBatchEnd() { services_.job_table->FinishBatch(); }
+  void OnBatchEnd() const { services_.job_table->FinishBatch(); }
 
  private:
   void OnLeader(const std::string& value);
@@ -49,6 +51,7 @@
 
   const NodeServices& services_;
   Leader& leader_;
+  CancellationFence& cancellation_fence_;
   DependencyOutcomes& dependency_outcomes_;
   const std::unique_ptr<membership::Service>& membership_;
   const std::unique_ptr<BlockPlacementLoop>& block_placement_;
--- a/src/controller/request_router.cc
+++ b/src/controller/request_router.cc
@@ -73,10 +73,11 @@
   if (request.method != AllowedMethod(target.endpoint)) {
     co_return wire::HttpResponse{.status = kMethodNotAllowed, .body = wire::WriteError("method")};
   }
-  if (target.endpoint == Endpoint::kHeartbeat) co_return HandleHeartbeat(request.body);
   if (target.endpoint == Endpoint::kReady) co_return HandleReady();
   wire::HttpResponse response;
-  if (target.endpoint == Endpoint::kJobs) {
+  if (target.endpoint == Endpoint::kHeartbeat) {
+    response = co_await HandleHeartbeat(std::move(request.body));
+  } else if (target.endpoint == Endpoint::kJobs) {
     response = co_await user_api_.Submit(std::move(request.body));
   } else if (target.endpoint == Endpoint::kJob) {
     response = co_await user_api_.Poll(std::move(target.job));
@@ -99,21 +100,24 @@
   return {.status = Ready() ? kOk : kUnavailable, .body = "{}"};
 }
 
-wire::HttpResponse RequestRouter::HandleHeartbeat(const std::string& body) {
+async::Task<wire::HttpResponse> RequestRouter::HandleHeartbeat(std::string body) {
   if (membership_) membership_->OnHeartbeat();
   const election::LeaderElection& election = *services_.election;
   if (!election.leading()) {
     const std::string leader = election.leader();
-    if (leader.empty() || leader == services_.settings->node) return Unavailable("nobody leads");
-    return {.status = kMisdirected, .body = wire::WriteRedirect(leader)};
+    if (leader.empty() || leader == services_.settings->node) {
+      co_return Unavailable("nobody leads");
+    }
+    co_return wire::HttpResponse{.status = kMisdirected, .body = wire::WriteRedirect(leader)};
   }
-  if (!election.MayAct()) return Unavailable("not entitled to act");
+  if (!election.MayAct()) co_return Unavailable("not entitled to act");
   auto report = wire::ReadHeartbeat(body);
   if (!report) {
     spdlog::warn("heartbeat: unreadable bytes={}", body.size());
-    return {.status = kBadRequest, .body = wire::WriteError("not a report")};
+    co_return wire::HttpResponse{.status = kBadRequest, .body = wire::WriteError("not a report")};
   }
-  return leader_.OnHeartbeat(*report);
+  wire::HttpResponse response = co_await leader_.OnHeartbeat(std::move(*report));
+  co_return response;
 }
 
 }  // namespace hallpier::controller
--- a/src/controller/request_router.h
+++ b/src/controller/request_router.h
@@ -41,7 +41,7 @@
   // True if the load balancer should send users' requests to this node.
   bool Ready() const;
   wire::HttpResponse HandleReady() const;
-  wire::HttpResponse HandleHeartbeat(const std::string& body);
+  async::Task<wire::HttpResponse> HandleHeartbeat(std::string body);
 
   const NodeServices& services_;
   Leader& leader_;
--- a/src/controller/transaction_committer.cc
+++ b/src/controller/transaction_committer.cc
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "controller/start_permission.h"
 #include "store/keys.h"
 #include "store/records.h"
 
@@ -59,11 +60,13 @@
   const auto request_priority = transaction.priority <= jobs::WritePriority::kJobEnd
                                     ? store::RequestPriority::kUrgent
                                     : store::RequestPriority::kNormal;
+  const double requested_at = scope.loop().Now();
   auto result = co_await services_.client->Commit(transaction.preconditions, transaction.writes,
                                                   request_priority, max_wait_s);
   if (scope.cancelled()) co_return Outcome::kNoAnswer;
   if (result.ok()) {
     for (const std::string& line : log_lines) spdlog::info("{}", line);
+    services_.start_permission->OnCommitted(transaction.preconditions, requested_at);
     OnCommitted(transaction, result.value.revision);
     co_return Outcome::kCommitted;
   }
--- a/src/election/cancellation_watermark.cc
+++ b/src/election/cancellation_watermark.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "election/start_lease.h"
+
 namespace hallpier::election {
 namespace {
 
@@ -68,6 +70,10 @@
   return std::max(cache_confirmed_at_, oldest_report_at);
 }
 
+bool CancellationWatermark::MayStartTasks(double now) const {
+  return now <= Watermark(now) + kStartLeaseS;
+}
+
 bool CancellationWatermark::CacheIsStale(double now) const {
   return now - cache_confirmed_at_ > std::min(kMaxQuietHeartbeats * options_.heartbeat_interval_s,
                                               kMaxUnconfirmedRatio * renewal_bound_s_);
--- a/src/election/cancellation_watermark.h
+++ b/src/election/cancellation_watermark.h
@@ -14,6 +14,9 @@
 // watermark, every task of such a cancellation has ended within cancel_s of the acknowledgement.
 // renewal_bound_s() applies this limit, but has a minimum: if cancel_s leaves less time than that,
 // leases alone don't guarantee cancel_s.
+//
+// The watermark also bounds how long the leader may start tasks (election/start_lease.h). That
+// bound is much shorter.
 #pragma once
 
 #include <map>
@@ -49,6 +52,8 @@
   double Watermark(double now) const;
   // Returns true while workers' leases may be renewed.
   bool MayRenewLeases(double now) const { return now <= Watermark(now) + renewal_bound_s(); }
+  // Returns true while tasks may be started without ignoring an acknowledged cancellation.
+  bool MayStartTasks(double now) const;
   // Returns true if this node's watch cache has not been confirmed for so long that reports must be
   // requested from the other nodes.
   bool CacheIsStale(double now) const;
--- a/src/election/leader_election.cc
+++ b/src/election/leader_election.cc
@@ -79,6 +79,9 @@
 }
 
 void LeaderElection::OnLeaderRecord(const std::string& value) {
+  if (leader_record_ && leader_record_->node != settings_.node) {
+    other_leader_ended_at_ = scope_.loop().Now();
+  }
   leader_record_.reset();
   if (!value.empty())
     leader_record_ = store::RecordOrLog(store::LeaderKey(), store::ReadLeader(value));
--- a/src/election/leader_election.h
+++ b/src/election/leader_election.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <optional>
 #include <random>
 #include <string>
@@ -68,6 +69,9 @@
   double predecessor_answers_until() const { return predecessor_answers_until_; }
   // Returns the leader according to the record known to this node; empty if there is none.
   std::string leader() const { return leader_record_ ? leader_record_->node : std::string(); }
+  // Steady time (s) at which this node last learned that the term of another node had ended; minus
+  // infinity if it has seen none end.
+  double other_leader_ended_at() const { return other_leader_ended_at_; }
   // Returns true during a term of this node, and after it until the attempt to revoke its lease has
   // finished.
   bool holds_lease() const { return holds_lease_; }
@@ -121,6 +125,7 @@
   double last_direct_renewal_ = -1;  // the same, for renewals not relayed by a peer
   double predecessor_answers_until_ = 0;
   double earliest_reacquire_ = 0;  // steady time
+  double other_leader_ended_at_ = -std::numeric_limits<double>::infinity();
   uint64_t failed_node_lease_id_ = 0;
   bool lost_ = false;  // leadership was lost or given up: the term must end
   bool holds_lease_ = false;
--- a/src/fleet/reconciliation.cc
+++ b/src/fleet/reconciliation.cc
@@ -89,10 +89,30 @@
          !machine.reported_tasks.contains(task);
 }
 
+// True if a recorded attempt that its machine does not report is to be started there.
+bool IsStartWanted(const Machine& machine, const model::TaskId& task, uint64_t attempt,
+                   const jobs::JobTable& job_table, const WorkerRegistry& registry) {
+  // If the worker has seen a higher token, another leader commands it, and it would reject our
+  // command.
+  return machine.agent.token <= registry.token() &&
+         !IsStartForbidden(machine, task, attempt, job_table, registry.stop_requests());
+}
+
 }  // namespace
 
+bool OmitsStarts(const WorkerRegistry& registry, const Machine& machine,
+                 const jobs::JobTable& job_table, const StartFilter& may_start) {
+  const Placements& placements = job_table.PlacementsOn(machine.name);
+  return std::any_of(placements.begin(), placements.end(), [&](const auto& placement) {
+    const auto& [task, attempt] = placement;
+    return FindReported(machine, task, attempt) == nullptr &&
+           IsStartWanted(machine, task, attempt, job_table, registry) && !may_start(task.job);
+  });
+}
+
 std::vector<model::WorkerCommand> Reconcile(WorkerRegistry& registry, Machine& machine,
-                                            const jobs::JobTable& job_table, bool direct) {
+                                            const jobs::JobTable& job_table, bool direct,
+                                            const StartFilter& may_start) {
   const model::FencingToken token = registry.token();
   const StopRequests& stop_requests = registry.stop_requests();
   const Placements& placements = job_table.PlacementsOn(machine.name);
@@ -111,10 +131,8 @@
       if (command) commands.push_back(*command);
       continue;
     }
-    if (IsStartForbidden(machine, task, attempt, job_table, stop_requests)) continue;
-    // The worker has seen a higher token: another leader commands it, and it would reject our
-    // command.
-    if (machine.agent.token > token) continue;
+    if (!IsStartWanted(machine, task, attempt, job_table, registry)) continue;
+    if (may_start && !may_start(task.job)) continue;
     commands.push_back({model::CommandKind::kRun, task, attempt, 0});
     RecordSentStart(machine, task, attempt, token, direct);
   }
--- a/src/fleet/reconciliation.h
+++ b/src/fleet/reconciliation.h
@@ -5,6 +5,7 @@
 // sends the commands, either in a heartbeat response or in a separate request (a direct command).
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -16,11 +17,20 @@
 
 namespace hallpier::fleet {
 
+// Returns whether tasks of a job may be started now.
+using StartFilter = std::function<bool(const std::string& job)>;
+
 // Returns the commands for a machine, and records the start commands among them as sent. If
 // `direct`, the caller sends them as a direct command and must call OnDirectCommandFinished() when
 // it ends. Otherwise the caller sends them in the response to the machine's newest heartbeat.
+// Omits the starts for which `may_start` returns false; an empty filter omits none.
 std::vector<model::WorkerCommand> Reconcile(WorkerRegistry& registry, Machine& machine,
-                                            const jobs::JobTable& job_table, bool direct);
+                                            const jobs::JobTable& job_table, bool direct,
+                                            const StartFilter& may_start = {});
+
+// True if Reconcile() would omit a start because of `may_start`.
+bool OmitsStarts(const WorkerRegistry& registry, const Machine& machine,
+                 const jobs::JobTable& job_table, const StartFilter& may_start);
 
 // Returns only the stop commands for tasks of jobs that are known to be cancelled. These are
 // correct even if `job_table` is out of date, because a cancellation is never reverted.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -44,7 +44,8 @@
 async::Task<std::optional<wire::HttpResponse>> HttpClient::Call(async::Scope& scope,
                                                                 std::string endpoint,
                                                                 wire::HttpRequest request,
-                                                                double timeout_s, bool idempotent) {
+                                                                double timeout_s, bool idempotent,
+                                                                std::function<bool()> may_send) {
   const double deadline = scope.loop().Now() + timeout_s;
   const std::string bytes = wire::Serialize(request, endpoint);
   struct ActiveCall {
@@ -66,6 +67,7 @@
       // passed. A request must not be sent when its caller no longer wants it.
       if (!stream || scope.loop().Now() >= deadline) co_return std::nullopt;
     }
+    if (may_send && !may_send()) co_return std::nullopt;
     wire::HttpParser parser(wire::HttpParser::Kind::kResponse, max_body_bytes_);
     bool written = co_await stream->Write(scope, bytes, deadline);
     auto state = wire::HttpParser::State::kNeedMore;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,6 +1,7 @@
 // An HTTP client that reuses connections and bounds how many it keeps.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -28,10 +29,12 @@
 
   // Returns std::nullopt if no response arrived in time. The request may then have been executed,
   // or may still be executed later. If a reused connection turns out to be closed, the request is
-  // sent again only if it is `idempotent`.
+  // sent again only if it is `idempotent`. `may_send`, if set, is called right before the request
+  // is written to a connection; if it returns false, the request is not sent.
   async::Task<std::optional<wire::HttpResponse>> Call(async::Scope& scope, std::string endpoint,
                                                       wire::HttpRequest request, double timeout_s,
-                                                      bool idempotent);
+                                                      bool idempotent,
+                                                      std::function<bool()> may_send = {});
 
  private:
   // Returns an idle connection to the endpoint that is still usable; std::nullopt if there is none.
--- a/src/net/peer_mesh.cc
+++ b/src/net/peer_mesh.cc
@@ -96,14 +96,44 @@
 
 void PeerMesh::BroadcastCancellation(const wire::CancelNotice& notice) {
   for (auto& p : peers_) {
-    if (!p->connected || !hooks_.supports_cancellation_reports ||
-        !hooks_.supports_cancellation_reports(p->seed.node))
-      continue;
+    if (!p->connected || !SupportsCancellationReports(*p)) continue;
     p->outbox += wire::EncodeFrame(wire::WritePeerMessage(notice));
     p->wake.Notify();
   }
 }
 
+bool PeerMesh::SupportsCancellationReports(const Peer& peer) const {
+  return hooks_.supports_cancellation_reports &&
+         hooks_.supports_cancellation_reports(peer.seed.node);
+}
+
+PeerMesh::Peer* PeerMesh::FindPeer(const std::string& node) {
+  auto found = std::find_if(peers_.begin(), peers_.end(),
+                            [&](const auto& peer) { return peer->seed.node == node; });
+  return found == peers_.end() ? nullptr : found->get();
+}
+
+async::Task<bool> PeerMesh::DeliverCancellation(std::string node, wire::CancelNotice notice,
+                                                double limit_s) {
+  Peer* peer = FindPeer(node);
+  if (peer == nullptr || !peer->connected || !SupportsCancellationReports(*peer)) co_return false;
+  const double deadline = scope_.loop().Now() + limit_s;
+  const uint64_t link_number = peer->link_number;
+  // A node handles the messages of a link in order, so its response to a ping that follows the
+  // notice shows that it has handled the notice.
+  peer->outbox += wire::EncodeFrame(wire::WritePeerMessage(notice));
+  const double sent_at = scope_.loop().Now();
+  peer->ping_requested = true;
+  peer->wake.Notify();
+  while (peer->link_number == link_number && peer->status_requested_at <= sent_at) {
+    const double remaining_s = deadline - scope_.loop().Now();
+    if (remaining_s <= 0 || scope_.cancelled()) co_return false;
+    auto wait = peer->status_received.Await(scope_, remaining_s);
+    co_await wait;
+  }
+  co_return peer->link_number == link_number;
+}
+
 void PeerMesh::Send(const std::string& node, const wire::PeerMessage& message) {
   for (auto& p : peers_) {
     if (p->seed.node != node || !p->connected) continue;
@@ -114,6 +144,8 @@
 
 void PeerMesh::SetLink(Peer* peer, bool up) {
   peer->connected = up;
+  ++peer->link_number;
+  peer->status_received.Notify();
   if (up) {
     spdlog::debug("peer link up: node={}", peer->seed.node);
     peer->outbox.clear();
@@ -164,11 +196,11 @@
   double next_ping = 0;
   while (*open && !scope_.cancelled()) {
     const double now = scope_.loop().Now();
-    if (now >= next_ping) {
+    if (now >= next_ping || peer->ping_requested) {
+      peer->ping_requested = false;
       peer->outbox += wire::EncodeFrame(wire::WritePeerMessage(hooks_.status()));
       peer->ping_times.push_back(now);
-      const bool supported = hooks_.supports_cancellation_reports &&
-                             hooks_.supports_cancellation_reports(peer->seed.node);
+      const bool supported = SupportsCancellationReports(*peer);
       if (auto report_request =
               supported ? hooks_.cancellation_report_request(peer->seed.node) : std::nullopt) {
         peer->outbox += wire::EncodeFrame(wire::WritePeerMessage(*report_request));
@@ -197,6 +229,7 @@
   hooks_.on_status(status);
   if (hooks_.on_status_answered)
     hooks_.on_status_answered(peer->seed.node, peer->status_requested_at);
+  peer->status_received.Notify();
 }
 
 bool PeerMesh::HandleResponse(Peer* peer, const std::string& payload) {
--- a/src/net/peer_mesh.h
+++ b/src/net/peer_mesh.h
@@ -70,6 +70,10 @@
   bool AllPeersReportOutage() const;
   // Sends a cancellation that was just recorded to all connected nodes that support the notice.
   void BroadcastCancellation(const wire::CancelNotice& notice);
+  // Sends a cancellation to a node and waits until the node has handled it. Returns false if that
+  // takes longer than `limit_s` seconds, the link breaks, or the node does not support the notice.
+  async::Task<bool> DeliverCancellation(std::string node, wire::CancelNotice notice,
+                                        double limit_s);
   // Sends a message on the link to a node; does nothing if there is no link.
   void Send(const std::string& node, const wire::PeerMessage& message);
   // True if another node has a fresh status that says that it can reach the state service.
@@ -94,6 +98,9 @@
     std::deque<double> report_request_times;
     std::string outbox;  // frames that have not been written yet
     async::Event wake;
+    bool ping_requested = false;  // a ping is to be sent without waiting for its interval
+    async::Event status_received;
+    uint64_t link_number = 0;  // changes when the link is established or broken
     std::map<uint64_t, std::shared_ptr<PendingRelay>> pending_relays;
   };
 
@@ -110,6 +117,8 @@
   void SetLink(Peer* peer, bool up);
   async::Task<> AcceptLoop(Listener listener);
   async::Task<> Serve(Stream stream);
+  Peer* FindPeer(const std::string& node);
+  bool SupportsCancellationReports(const Peer& peer) const;
   // True if the link is up and the peer's last status is recent enough to rely on.
   bool HasFreshStatus(const Peer& peer) const;
   bool AnyFreshStatus() const;
--- a/src/store/watch_cache.cc
+++ b/src/store/watch_cache.cc
@@ -137,6 +137,7 @@
       }
       must_load = false;
       loaded_ = true;
+      loaded_at_ = scope_.loop().Now();
       spdlog::info("state loaded: revision={} keys={}", revision_, versions_.size());
       changed_.Notify();
     }
--- a/src/store/watch_cache.h
+++ b/src/store/watch_cache.h
@@ -38,6 +38,9 @@
   // Loads all keys and then watches them until the scope is cancelled.
   async::Task<> Run();
   bool loaded() const { return loaded_; }
+  // Steady time (s) at which the last load of all keys ended. Changes from before that time may
+  // have been missed if a later change replaced them.
+  double loaded_at() const { return loaded_at_; }
   // The cache contains all changes up to this revision.
   uint64_t revision() const { return revision_; }
   // Steady time in seconds. The cache is known to contain everything written before this time.
@@ -77,6 +80,7 @@
   ChangeHandler on_change_;
   BatchEndHandler on_batch_end_;
   bool loaded_ = false;
+  double loaded_at_ = -std::numeric_limits<double>::infinity();
   uint64_t revision_ = 0;
   double current_as_of_ = -std::numeric_limits<double>::infinity();
   std::unordered_map<std::string, uint64_t> versions_;
--- a/tests/fakes/fake_cloud.cc
+++ b/tests/fakes/fake_cloud.cc
@@ -42,6 +42,16 @@
   return count;
 }
 
+void FakeCloud::CutMachines(bool cut) {
+  for (auto& [name, worker] : machines_) worker->SetCut(cut);
+}
+
+int FakeCloud::refused_commands() const {
+  int count = 0;
+  for (const auto& [name, worker] : machines_) count += worker->refused_commands();
+  return count;
+}
+
 void FakeCloud::OnStart(const FakeWorker& worker, const model::TaskId& task) {
   if (on_start_) on_start_(task);
   ++starts_;
--- a/tests/fakes/fake_cloud.h
+++ b/tests/fakes/fake_cloud.h
@@ -42,6 +42,10 @@
   int Running(const std::string& job) const;
   // Returns the number of running tasks of all jobs whose names begin with `prefix`.
   int RunningWithPrefix(const std::string& prefix) const;
+  // Cuts all present machines off from the controllers, or reconnects them.
+  void CutMachines(bool cut);
+  // Number of direct commands that machines have refused because they were cut off.
+  int refused_commands() const;
   // Sets a hook that is called before each task start.
   void SetStartHook(std::function<void(const model::TaskId&)> on_start) {
     on_start_ = std::move(on_start);
--- a/tests/fakes/fake_worker.cc
+++ b/tests/fakes/fake_worker.cc
@@ -121,6 +121,7 @@
     co_await pause;
     const double now = scope_.loop().Now();
     ExpireLease(now);
+    if (cut_) continue;
     if (!FinishDueTasks() && now < next_heartbeat_at_) continue;
     next_heartbeat_at_ = now + options_.heartbeat_interval_s;
     co_await SendHeartbeat(now);
@@ -155,6 +156,10 @@
 }
 
 async::Task<wire::HttpResponse> FakeWorker::Handle(wire::HttpRequest request) {
+  if (cut_) {
+    ++refused_commands_;
+    co_return Answer(503, "{}");
+  }
   if (request.path() == "/show") co_return Answer(200, WriteHeartbeat());
   auto body = wire::ParseObject(request.body);
   auto token = body ? wire::GetCount(*body, "epoch") : std::nullopt;
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -40,6 +40,10 @@
   // Terminates the machine and its tasks. The coroutines unwind later; the object must live until
   // then.
   void End();
+  // While the machine is cut off, it sends no heartbeats and refuses all requests.
+  void SetCut(bool cut) { cut_ = cut; }
+  // Number of direct commands that were refused because the machine was cut off.
+  int refused_commands() const { return refused_commands_; }
   // The machine as the cloud lists it.
   const model::CloudMachine& listed() const { return listed_; }
   bool Runs(const model::TaskId& task) const;
@@ -84,6 +88,8 @@
   double lease_renewed_at_ = 0;  // steady time at which the last answered heartbeat was sent
   double next_heartbeat_at_ = 0;
   std::map<model::TaskId, RunningTask> tasks_;
+  bool cut_ = false;
+  int refused_commands_ = 0;
 };
 
 }  // namespace hallpier::testing_support
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -308,6 +308,39 @@
 
 TEST_F(CancellationReportsTest, ReportsAreSentOnlyToPeersThatSupportThem) { Run(Script()); }
 
+// Guards against a cancellation that counts as known to a node that has not handled it yet.
+class CancellationDeliveryTest : public CancellationReportsTest {
+ public:
+  async::Task<bool> Deliver(net::PeerMesh& mesh, std::string job, double limit_s) {
+    wire::CancelNotice notice{{std::move(job), 7}};
+    co_return co_await mesh.DeliverCancellation("node-1", notice, limit_s);
+  }
+  async::Task<> DeliverWithAndWithoutSupport() {
+    std::string error;
+    config::Settings s0, s1;
+    auto sender = Mesh(0, s0), receiver = Mesh(1, s1);
+    EXPECT_TRUE(sender->Start(&error)) << error;
+    bool delivered = co_await Deliver(*sender, "run-1", 0.1);
+    EXPECT_FALSE(delivered) << "there is no link";
+    EXPECT_TRUE(receiver->Start(&error)) << error;
+    co_await Pause(6 * kPingIntervalS);
+    delivered = co_await Deliver(*sender, "run-2", 0.1);
+    EXPECT_FALSE(delivered) << "the receiver does not support the notice";
+    supported_ = true;
+    const double asked_at = loop_.Now();
+    delivered = co_await Deliver(*sender, "run-3", 1);
+    EXPECT_TRUE(delivered);
+    EXPECT_EQ(notified_jobs_, std::vector<std::string>{"run-3"});
+    EXPECT_LT(loop_.Now() - asked_at, kPingIntervalS / 2) << "does not wait for the next ping";
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+};
+
+TEST_F(CancellationDeliveryTest, SucceedsOnceThePeerHasHandledTheNotice) {
+  Run(DeliverWithAndWithoutSupport());
+}
+
 // Guards against queries that use up the request quota: however many users query at the same time,
 // the reads that refresh the cache take at most half of this node's requests. Submissions and
 // cancellations are still sent at once, and no query waits for long.
@@ -405,6 +438,36 @@
 
 TEST_F(PauseDuringConnectTest, TimedOutCallIsNotSent) { Run(Script()); }
 
+// Guards against a start command that is sent after its job was cancelled, because its connection
+// took long: the caller decides again when the connection is established.
+class DecisionBeforeSendTest : public PauseDuringConnectTest {
+ public:
+  async::Task<> CallIfPermitted() {
+    wire::HttpRequest q{.method = "POST", .target = "/commands", .body = "{}"};
+    std::function<bool()> may_send = [this] { return permitted_; };
+    auto r = co_await http_.Call(scope_, AddressAt(0), std::move(q), 1, false, may_send);
+    ++(r ? answered_ : timed_out_);
+  }
+  async::Task<> WithdrawPermission() {
+    co_await StartServer();
+    scope_.Spawn(CallIfPermitted());
+    async::Sleep turn(scope_, 0);
+    co_await turn;  // now the connection is being established
+    permitted_ = false;
+    while (answered_ + timed_out_ == 0) co_await Pause(0.01);
+    co_await Pause(0.1);
+    EXPECT_EQ(requests_, 0);
+    permitted_ = true;
+    co_await CallIfPermitted();
+    EXPECT_EQ(answered_, 1);
+    scope_.Cancel();
+    co_await scope_.Join();
+  }
+  bool permitted_ = true;
+};
+
+TEST_F(DecisionBeforeSendTest, WithdrawnRequestIsNotSent) { Run(WithdrawPermission()); }
+
 // Guards against a pause that is detected too late: resumed_at() must report a long gap between two
 // turns of the event loop as soon as the gap ends, before the next turn. It returns the end of that
 // pause until the next pause.
