Commands that wait for a start lease end with their term

Cause: a direct command that waits for the permission to start tasks belongs to a term, but waited in the scope of the node.

Change: the wait takes the scope of its caller.

--- a/src/controller/command_dispatcher.cc
+++ b/src/controller/command_dispatcher.cc
@@ -72,7 +72,7 @@
   fleet::Machine* worker = registry_.Find(machine);
   if (!IsReachable(worker) || !services_.election->MayAct()) co_return false;
   if (command_source_.ShouldAwaitStartPermission(*worker)) {
-    co_await command_source_.AwaitStartPermission(machine);
+    co_await command_source_.AwaitStartPermission(term, machine);
     worker = registry_.Find(machine);
     if (term.cancelled() || !IsReachable(worker) || !services_.election->MayAct()) co_return false;
   }
--- a/src/controller/command_source.cc
+++ b/src/controller/command_source.cc
@@ -35,14 +35,14 @@
   return OmitsStarts(machine) && fleet::CancellationCommands(machine, *services_.job_table).empty();
 }
 
-async::Task<> CommandSource::AwaitStartPermission(std::string machine) {
+async::Task<> CommandSource::AwaitStartPermission(async::Scope& scope, std::string machine) {
   std::function<bool()> has_permission = [this, machine] {
     const fleet::Machine* found = registry_.Find(machine);
     return found == nullptr || !OmitsStarts(*found);
   };
   const bool permitted =
-      co_await services_.start_permission->Await(has_permission, kMaxPermissionWaitS);
-  if (!permitted) {
+      co_await services_.start_permission->Await(scope, has_permission, kMaxPermissionWaitS);
+  if (!permitted && !scope.cancelled()) {
     spdlog::info("reconcile: starts withheld machine={} reason=cancellations may be unknown",
                  machine);
   }
--- a/src/controller/command_source.h
+++ b/src/controller/command_source.h
@@ -33,8 +33,8 @@
   // that would be omitted, and no task to stop because of a cancellation.
   bool ShouldAwaitStartPermission(const fleet::Machine& machine) const;
   // Waits for a short time until no start for a machine has to be omitted. Callers compute the
-  // commands afterwards in any case.
-  async::Task<> AwaitStartPermission(std::string machine);
+  // commands afterwards in any case. Ends early if the caller's scope is cancelled.
+  async::Task<> AwaitStartPermission(async::Scope& scope, std::string machine);
   // True if commands that CommandsFor() has returned may still be sent: the jobs of all tasks that
   // they start may be started and are not cancelled.
   bool MayStillSend(const std::vector<model::WorkerCommand>& commands) const;
--- a/src/controller/heartbeat_handler.cc
+++ b/src/controller/heartbeat_handler.cc
@@ -21,7 +21,7 @@
   fleet::Machine* machine = registry_.Find(report.machine);
   if (machine->IsNewestStatus(report) && command_source_.ShouldAwaitStartPermission(*machine)) {
     const model::FencingToken token = registry_.token();
-    co_await command_source_.AwaitStartPermission(report.machine);
+    co_await command_source_.AwaitStartPermission(*services_.scope, report.machine);
     machine = registry_.Find(report.machine);
     if (machine == nullptr || registry_.token() != token || !services_.election->MayAct()) {
       co_return wire::HttpResponse{.status = kUnavailable,
--- a/src/controller/start_permission.cc
+++ b/src/controller/start_permission.cc
@@ -32,15 +32,16 @@
   }
 }
 
-async::Task<bool> StartPermission::Await(std::function<bool()> has_permission, double limit_s) {
+async::Task<bool> StartPermission::Await(async::Scope& waiting_scope,
+                                         std::function<bool()> has_permission, double limit_s) {
   const double deadline = scope_.loop().Now() + limit_s;
   while (!has_permission()) {
     // If the state service is not available, the other nodes' reports may still bring permission.
     const bool caught_up = co_await linearizable_read_.CatchUp();
-    if (scope_.cancelled()) co_return false;
+    if (waiting_scope.cancelled()) co_return false;
     if (caught_up) continue;
     if (scope_.loop().Now() >= deadline) break;
-    async::Sleep retry(scope_, kRetryS);
+    async::Sleep retry(waiting_scope, kRetryS);
     co_await retry;
   }
   co_return has_permission();
--- a/src/controller/start_permission.h
+++ b/src/controller/start_permission.h
@@ -27,8 +27,10 @@
   // Jobs whose records are among its preconditions had not been cancelled by then.
   void OnCommitted(const std::vector<model::Precondition>& preconditions, double requested_at);
   // Brings this node's knowledge of cancellations up to date until `has_permission` holds. Returns
-  // false if it does not hold after `limit_s` seconds.
-  async::Task<bool> Await(std::function<bool()> has_permission, double limit_s);
+  // false if it does not hold after `limit_s` seconds, or if `waiting_scope`, the scope of the
+  // caller, is cancelled.
+  async::Task<bool> Await(async::Scope& waiting_scope, std::function<bool()> has_permission,
+                          double limit_s);
 
  private:
   async::Scope& scope_;
