Tests: copies of executed start commands, which fail

The fake and the simulated workers can be given a direct command a second time, after it was executed and answered; first attempts can fail, and the simulated cluster can start tasks by direct commands.

--- a/tests/blocks_cluster_test.cc
+++ b/tests/blocks_cluster_test.cc
@@ -39,6 +39,7 @@
   void ExpectNoViolations() {
     EXPECT_EQ(cluster_->starts_over_limit(), 0) << "peak " << cluster_->peak().used;
     EXPECT_EQ(cluster_->duplicate_starts(), 0);
+    EXPECT_EQ(cluster_->repeated_starts(), 0);
     EXPECT_EQ(cluster_->starts_after_cancel(), 0);
   }
   void ExpectAllJobsEnd(double limit_s = 240) {
@@ -436,5 +437,32 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, BlocksRandomFaultsTest, testing::Range(1, 61));
 
+// Copies of direct commands arrive late while tasks fail and move and leaders end.
+class LateCommandCopySimulationTest : public BlocksClusterTest,
+                                      public testing::WithParamInterface<int> {};
+
+TEST_P(LateCommandCopySimulationTest, StartsNoAttemptASecondTime) {
+  SCOPED_TRACE("seed " + std::to_string(GetParam()));
+  Options options;
+  options.seed = static_cast<uint64_t>(GetParam());
+  options.command_copy_rate = 0.5;
+  options.error_rate = 0.1;
+  options.lost_answer_rate = 0.05;
+  options.limit = 30;
+  Start(options);
+  for (int i = 0; i < 12; ++i) {
+    Submit(1, 1 + static_cast<uint32_t>(cluster_->Uniform(0, 6)));
+    const std::string leader = cluster_->Leader();
+    if (i % 4 == 2) cluster_->Kill(leader);
+    cluster_->RunFor(cluster_->Uniform(0.1, 3));
+    if (i % 4 == 2) cluster_->Restart(leader);
+  }
+  ExpectAllJobsEnd();
+  cluster_->RunFor(options.max_copy_delay_s);
+  ExpectNoViolations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LateCommandCopySimulationTest, testing::Range(1, 21));
+
 }  // namespace
 }  // namespace hallpier
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -111,6 +111,8 @@
     options.worker.heartbeat_interval_s = kHeartbeatIntervalS;
     options.worker.lease_s = lease_s_;
     options.worker.run_s = run_s_;
+    options.worker.failing_tasks = failing_tasks_;
+    options.worker.command_copy_delays_s = command_copy_delays_s_;
     options.first_port = PortBlock::OfProcess().first() + kFirstWorkerPort;
     options.ports = kWorkerPorts;
     state_ = std::make_unique<FakeStateService>(scope_);
@@ -251,6 +253,9 @@
   double state_write_rps_ = 0;  // 0: the value that NodeSettings() sets
   double cpus_max_ = 0;         // quota of the team; 0: no limit
   double run_s_ = 0.3;
+  // Faults of the workers (FakeWorker::Options).
+  uint32_t failing_tasks_ = 0;
+  std::vector<double> command_copy_delays_s_;
   std::optional<config::StateLimits> next_state_limits_;
   config::OperatorOptions operator_options_;
   // The node that has no links to its peers and that CutSecondary() cuts off from the state
--- a/tests/fakes/fake_worker.cc
+++ b/tests/fakes/fake_worker.cc
@@ -13,6 +13,9 @@
 constexpr double kTicksPerHeartbeat = 20;
 constexpr double kRetriesPerHeartbeat = 3;
 constexpr double kMaxTimeoutS = 4;
+constexpr int kOk = 200;
+
+bool HasStart(const std::string& body) { return body.find("\"run\"") != std::string::npos; }
 
 }  // namespace
 
@@ -74,6 +77,10 @@
   RunningTask running;
   running.attempt = attempt;
   running.ends_at = scope_.loop().Now() + options_.run_s;
+  if (attempt == 1 && task.index < options_.failing_tasks) {
+    running.phase = model::TaskPhase::kExited;
+    running.cause = "error";
+  }
   tasks_[task] = running;
 }
 
@@ -84,7 +91,8 @@
     const uint64_t attempt = *wire::GetCount(command, "try");
     auto it = tasks_.find(*task);
     const bool same = it != tasks_.end() && it->second.attempt == attempt;
-    if (kind == "run" && !same) {
+    const bool busy = it != tasks_.end() && it->second.phase == model::TaskPhase::kRunning;
+    if (kind == "run" && !same && !busy) {
       StartTask(*task, attempt);
     } else if (kind == "stop" && same && it->second.phase == model::TaskPhase::kRunning) {
       it->second.phase = model::TaskPhase::kExited;
@@ -161,14 +169,31 @@
     co_return Answer(503, "{}");
   }
   if (request.path() == "/show") co_return Answer(200, WriteHeartbeat());
-  auto body = wire::ParseObject(request.body);
-  auto token = body ? wire::GetCount(*body, "epoch") : std::nullopt;
-  auto agent_epoch = body ? wire::GetCount(*body, "tenure") : std::nullopt;
-  if (!token || !agent_epoch) co_return Answer(400, "{}");
-  if (*token < token_ || *agent_epoch != agent_epoch_) co_return Answer(409, WriteHeartbeat());
+  wire::HttpResponse response = ExecuteDirectCommand(request.body);
+  const bool executed_start = response.status == kOk && HasStart(request.body);
+  if (executed_start) {
+    for (double delay_s : options_.command_copy_delays_s) {
+      scope_.Spawn(DeliverCopy(request.body, delay_s));
+    }
+  }
+  co_return response;
+}
+
+wire::HttpResponse FakeWorker::ExecuteDirectCommand(const std::string& body) {
+  auto command = wire::ParseObject(body);
+  auto token = command ? wire::GetCount(*command, "epoch") : std::nullopt;
+  auto agent_epoch = command ? wire::GetCount(*command, "tenure") : std::nullopt;
+  if (!token || !agent_epoch) return Answer(400, "{}");
+  if (*token < token_ || *agent_epoch != agent_epoch_) return Answer(409, WriteHeartbeat());
   token_ = *token;
-  Execute((*body)["orders"]);
-  co_return Answer(200, WriteHeartbeat());
+  Execute((*command)["orders"]);
+  return Answer(200, WriteHeartbeat());
+}
+
+async::Task<> FakeWorker::DeliverCopy(std::string body, double delay_s) {
+  async::Sleep pause(scope_, delay_s);
+  co_await pause;
+  if (!scope_.cancelled() && !cut_) ExecuteDirectCommand(body);
 }
 
 }  // namespace hallpier::testing_support
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -28,7 +28,10 @@
     std::vector<std::string> nodes;        // names of the controllers, in the same order
     double heartbeat_interval_s = 3;
     double lease_s = 45;
-    double run_s = 1;  // duration of every task
+    double run_s = 1;            // duration of every task
+    uint32_t failing_tasks = 0;  // the first attempts of so many tasks of each job fail at once
+    // A direct command with a start that was executed arrives again after each of these delays.
+    std::vector<double> command_copy_delays_s;
   };
   // Called before a task starts here.
   using OnStart = std::function<void(const FakeWorker& worker, const model::TaskId& task)>;
@@ -74,6 +77,9 @@
   // Returns the index of the controller to try after one that did not accept the heartbeat.
   size_t NextController(const std::string& leader) const;
   async::Task<wire::HttpResponse> Handle(wire::HttpRequest request);
+  wire::HttpResponse ExecuteDirectCommand(const std::string& body);
+  // Delivers a direct command again after `delay_s`, as the network does with a late copy.
+  async::Task<> DeliverCopy(std::string body, double delay_s);
 
   const Options options_;
   const model::CloudMachine listed_;
--- a/tests/reconciliation_test.cc
+++ b/tests/reconciliation_test.cc
@@ -36,6 +36,19 @@
       << "after a forget command, a late start command would run the attempt again";
 }
 
+TEST_F(ReconciliationTest, SendsNoForgetWhileCopyOfAnsweredStartWouldBeExecuted) {
+  Heartbeat(1, 1, kToken, 1);
+  auto commands = Reconcile(registry_, *registry_.Find("vm-1"), job_table_, true);
+  ASSERT_EQ(commands.size(), 1U);
+  OnDirectCommandFinished(registry_, "vm-1", commands, kToken, true);
+  PutOpenTask(job_table_, "run-1", 0, 1, "");  // the end of the attempt is recorded
+  auto commands_in_response = Heartbeat(
+      1, 2, kToken, 2,
+      {MakeTaskStatus("run-1", 0, 1, model::TaskPhase::kExited, model::ExitCause::kError)});
+  EXPECT_TRUE(commands_in_response.empty())
+      << "after a forget command, a copy of the start command would run the attempt again";
+}
+
 TEST_F(ReconciliationTest, SendsForgetOnlyOnceCompletionIsRecorded) {
   auto done = MakeTaskStatus("run-1", 0, 1, model::TaskPhase::kExited, model::ExitCause::kDone);
   auto commands = Heartbeat(1, 1, kToken, 1, {done});
--- a/tests/simulation/blocks_cluster.cc
+++ b/tests/simulation/blocks_cluster.cc
@@ -50,7 +50,8 @@
   return {.run_s = options_.run_s,
           .delay_s = options_.delay_s,
           .heartbeat_interval_s = settings_.heartbeat_interval_s,
-          .lease_s = settings_.lease_s};
+          .lease_s = settings_.lease_s,
+          .error_rate = options_.error_rate};
 }
 
 SimulatedWorkers::Hooks BlocksCluster::WorkerHooks() {
--- a/tests/simulation/blocks_cluster.h
+++ b/tests/simulation/blocks_cluster.h
@@ -51,6 +51,12 @@
     double late_rate = 0;   // probability that a transaction is executed late, without an answer
     double min_late_s = 1;  // minimum delay of a late transaction
     double max_late_s = 8;  // maximum delay of a late transaction
+    // If positive, the leader starts tasks with direct commands, of which this share arrives once
+    // more after having been executed and answered.
+    double command_copy_rate = 0;
+    double min_copy_delay_s = 0.5;
+    double max_copy_delay_s = 10;
+    double error_rate = 0;  // probability that a task fails
     double max_owners = 9;  // at least 2; 0 disables blocks
     // Safety checks to disable in experiments. "token", "division", "share" and "job" omit the
     // preconditions on the fencing token, the block assignment, the allocations and the jobs. With
@@ -114,6 +120,7 @@
   const Peak& peak() const { return peak_; }
   int starts_over_limit() const { return starts_over_limit_; }
   int duplicate_starts() const { return workers_.duplicate_starts(); }
+  int repeated_starts() const { return workers_.repeated_starts(); }
   int starts_after_cancel() const { return starts_after_cancel_; }
   int starts() const { return starts_; }
   uint64_t writes() const { return store_.writes(); }
@@ -165,6 +172,7 @@
     bool uses_blocks = false;  // false for a version without blocks
     model::FencingToken token;
     std::unique_ptr<fleet::WorkerRegistry> registry;
+    std::set<std::string> commanded_machines;  // those with a direct command in flight
     std::unique_ptr<blocks::BlockPlanner> block_planner;
     std::map<std::string, blocks::BlockViewBuilder> view_builders;
     DeliveryFault next_fault = DeliveryFault::kNone;
@@ -239,7 +247,12 @@
                            uint64_t revision, const std::vector<std::string>& failed);
 
   // Heartbeats, on the leader's side.
-  void RequestHeartbeat(Node& leader, const std::string& machine);
+  // Makes the machine's agent receive the starts that are due.
+  void SendDueStarts(Node& leader, const std::string& machine);
+  void SendDirectCommand(Node& leader, const std::string& machine);
+  void OnDirectCommandFinished(const std::string& name,
+                               const SimulatedWorkers::DirectCommand& command,
+                               const std::optional<model::Heartbeat>& report);
   void DeliverHeartbeat(const model::Heartbeat& heartbeat);
   void AnswerHeartbeat(const std::string& name, const model::Heartbeat& heartbeat, double sent);
 
--- a/tests/simulation/blocks_cluster_rounds.cc
+++ b/tests/simulation/blocks_cluster_rounds.cc
@@ -59,6 +59,7 @@
   node.unanswered.clear();
   ApplyRecord(node, store::FencingTokenKey(), record, store_.revision());
   node.registry = std::make_unique<fleet::WorkerRegistry>(RegistryOptions());
+  node.commanded_machines.clear();
   node.registry->BeginTerm(node.token, now(), now() + settings_.lease_s / 2);
   node.block_planner = std::make_unique<blocks::BlockPlanner>(settings_, operator_options_.blocks);
   for (const std::string& other : names_) ReportMember(node, other);
@@ -129,7 +130,7 @@
   }
   transitions.insert(transitions.end(), own.places.begin(), own.places.end());
   Send(node, transitions, own.preconditions, false);
-  for (const auto& [name, machine] : node.registry->machines()) RequestHeartbeat(node, name);
+  for (const auto& [name, machine] : node.registry->machines()) SendDueStarts(node, name);
 }
 
 BlocksCluster::OwnPlacements BlocksCluster::PlanOwnPlacements(Node& node, bool has_owners) {
@@ -204,12 +205,50 @@
                  });
 }
 
-void BlocksCluster::RequestHeartbeat(Node& leader, const std::string& machine) {
+void BlocksCluster::SendDueStarts(Node& leader, const std::string& machine) {
   const auto& placements = leader.job_table.PlacementsOn(machine);
   const bool due = std::any_of(placements.begin(), placements.end(), [&](const auto& placement) {
     return fleet::IsStartDue(*leader.registry, machine, placement.first, placement.second);
   });
-  if (due) workers_.RequestHeartbeat(machine);
+  if (!due) return;
+  if (options_.command_copy_rate > 0) {
+    SendDirectCommand(leader, machine);
+  } else {
+    workers_.RequestHeartbeat(machine);
+  }
+}
+
+void BlocksCluster::SendDirectCommand(Node& leader, const std::string& machine) {
+  fleet::Machine* worker = leader.registry->Find(machine);
+  if (leader.name != leader_ || worker->agent.unreachable) return;
+  if (!leader.commanded_machines.insert(machine).second) return;
+  SimulatedWorkers::DirectCommand command;
+  command.machine = machine;
+  command.commands = fleet::Reconcile(*leader.registry, *worker, leader.job_table, true);
+  command.token = leader.token;
+  command.agent_epoch = worker->agent.epoch;
+  At(options_.delay_s,
+     [this, command, name = leader.name, generation = leader.process->generation()] {
+       const auto report = workers_.OnDirectCommand(command);
+       const double response_delay_s = report ? options_.delay_s : kHeartbeatTimeoutS;
+       InProcessAfter(response_delay_s, name, generation, [this, command, name, report] {
+         OnDirectCommandFinished(name, command, report);
+       });
+       if (!report || Uniform(0, 1) >= options_.command_copy_rate) return;
+       At(Uniform(options_.min_copy_delay_s, options_.max_copy_delay_s),
+          [this, command] { workers_.OnDirectCommand(command); });
+     });
+}
+
+void BlocksCluster::OnDirectCommandFinished(const std::string& name,
+                                            const SimulatedWorkers::DirectCommand& command,
+                                            const std::optional<model::Heartbeat>& report) {
+  Node& leader = NodeOf(name);
+  if (!leader.is_leader || leader.registry->first_token_of_term() > command.token) return;
+  leader.commanded_machines.erase(command.machine);
+  if (report) leader.registry->OnHeartbeat(*report, now(), true);
+  fleet::OnDirectCommandFinished(*leader.registry, command.machine, command.commands, command.token,
+                                 report.has_value());
 }
 
 void BlocksCluster::DeliverHeartbeat(const model::Heartbeat& heartbeat) {
--- a/tests/simulation/simulated_workers.cc
+++ b/tests/simulation/simulated_workers.cc
@@ -41,13 +41,30 @@
   worker.heartbeat_requested = false;
   ExpireLeases();
   if (!hooks_.has_leader() || worker.cut) return;
+  hooks_.send(TakeStatusReport(machine));
+}
+
+model::Heartbeat SimulatedWorkers::TakeStatusReport(const std::string& machine) {
+  Worker& worker = workers_.at(machine);
   model::Heartbeat heartbeat =
       MakeHeartbeat(machine, worker.agent_epoch, ++worker.sequence, worker.token);
   for (const auto& [task, run] : worker.tasks) {
     const auto phase = run.ended ? model::TaskPhase::kExited : model::TaskPhase::kRunning;
     heartbeat.tasks.push_back(MakeTaskStatus(task.job, task.index, run.attempt, phase, run.cause));
   }
-  hooks_.send(heartbeat);
+  return heartbeat;
+}
+
+std::optional<model::Heartbeat> SimulatedWorkers::OnDirectCommand(const DirectCommand& command) {
+  ExpireLeases();
+  Worker& worker = workers_.at(command.machine);
+  if (worker.cut) return std::nullopt;
+  const bool same_epoch = command.agent_epoch == model::AgentEpoch(worker.agent_epoch);
+  if (command.token >= worker.token && same_epoch) {
+    worker.token = command.token;
+    for (const model::WorkerCommand& order : command.commands) Execute(command.machine, order);
+  }
+  return TakeStatusReport(command.machine);
 }
 
 void SimulatedWorkers::OnAnswer(const model::Heartbeat& heartbeat, model::FencingToken token,
@@ -82,6 +99,7 @@
   for (auto& [name, worker] : workers_) {
     if (events_.now() - worker.answered_at <= options_.lease_s) continue;
     worker.tasks.clear();
+    worker.started_attempts.clear();
     ++worker.agent_epoch;
     worker.answered_at = events_.now();
   }
@@ -92,16 +110,21 @@
     auto it = other.tasks.find(command.task);
     if (it != other.tasks.end() && !it->second.ended) ++duplicate_starts_;
   }
+  Worker& worker = workers_.at(machine);
+  if (!worker.started_attempts.insert({command.task, command.attempt}).second) ++repeated_starts_;
   TaskRun run;
   run.attempt = command.attempt;
   run.cpus = hooks_.cpus_of(command.task);
-  workers_.at(machine).tasks[command.task] = run;
+  worker.tasks[command.task] = run;
   hooks_.on_start(machine, command);
-  const uint64_t agent_epoch = workers_.at(machine).agent_epoch;
-  events_.At(options_.run_s * random_.Uniform(0.7, 1.3), [this, machine, command, agent_epoch] {
-    if (workers_.at(machine).agent_epoch != agent_epoch) return;
-    EndTask(machine, command.task, command.attempt, model::ExitCause::kDone);
-  });
+  const uint64_t agent_epoch = worker.agent_epoch;
+  const bool fails = options_.error_rate > 0 && random_.Uniform(0, 1) < options_.error_rate;
+  const auto cause = fails ? model::ExitCause::kError : model::ExitCause::kDone;
+  events_.At(options_.run_s * random_.Uniform(0.7, 1.3),
+             [this, machine, command, agent_epoch, cause] {
+               if (workers_.at(machine).agent_epoch != agent_epoch) return;
+               EndTask(machine, command.task, command.attempt, cause);
+             });
 }
 
 void SimulatedWorkers::EndTask(const std::string& machine, const model::TaskId& task,
--- a/tests/simulation/simulated_workers.h
+++ b/tests/simulation/simulated_workers.h
@@ -8,7 +8,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "model/heartbeat.h"
@@ -26,6 +29,14 @@
     double delay_s = 0.005;  // from a change on a machine to its heartbeat
     double heartbeat_interval_s = 2;
     double lease_s = 12;
+    double error_rate = 0;  // probability that a task fails instead of completing
+  };
+  // A request with commands that a leader sends to a machine's agent.
+  struct DirectCommand {
+    std::string machine;
+    model::FencingToken token;
+    model::AgentEpoch agent_epoch;
+    std::vector<model::WorkerCommand> commands;
   };
   struct Hooks {
     // Returns true if there is a leader to receive heartbeats.
@@ -51,12 +62,18 @@
   void OnAnswer(const model::Heartbeat& heartbeat, model::FencingToken token,
                 const std::vector<model::WorkerCommand>& commands, double sent);
 
+  // Executes a direct command, unless the agent has seen a higher token or is in another epoch.
+  // Returns the status report that the agent responds with; std::nullopt if the machine is cut off.
+  std::optional<model::Heartbeat> OnDirectCommand(const DirectCommand& command);
+
   // Returns the processors used by running tasks, as counted by Hooks::cpus_of.
   double UsedCpus();
   // Returns the largest number of free processors on one machine, if each has `machine_cpus`.
   double MaxFreeCpus(double machine_cpus) const;
   // Number of starts of a task that was already running on a machine.
   int duplicate_starts() const { return duplicate_starts_; }
+  // Number of starts of an attempt that the same epoch of an agent had started before.
+  int repeated_starts() const { return repeated_starts_; }
 
  private:
   struct TaskRun {
@@ -71,12 +88,15 @@
     model::FencingToken token;
     double answered_at = 0;  // send time of the latest answered heartbeat
     std::map<model::TaskId, TaskRun> tasks;
+    std::set<std::pair<model::TaskId, uint64_t>> started_attempts;  // in this epoch
     bool heartbeat_requested = false;
     bool cut = false;
   };
 
   void HeartbeatLoop(const std::string& machine);
   void SendHeartbeat(const std::string& machine);
+  // Returns the machine's status report, with the next sequence number.
+  model::Heartbeat TakeStatusReport(const std::string& machine);
   void ExpireLeases();
   void Execute(const std::string& machine, const model::WorkerCommand& command);
   void StartTask(const std::string& machine, const model::WorkerCommand& command);
@@ -89,6 +109,7 @@
   const Hooks hooks_;
   std::map<std::string, Worker> workers_;
   int duplicate_starts_ = 0;
+  int repeated_starts_ = 0;
 };
 
 }  // namespace hallpier::testing_support
