A forget command makes copies of executed start commands void

Tasks of cancelled jobs start again in the same way.

Cause: the leader treated a direct command as over once it was answered (SentStart::in_flight). A worker ignores a copy only while it lists the attempt, has seen a higher token, or is in another session. The forget command took the first away while token and session stayed the same: an effect that was believed to have lapsed still had its right. For start commands without an answer the same was known and guarded, for answered ones not: a check in one path and not in the other.

Change: a forget command goes out only under a token higher than that of every direct command with a start that this leader has sent to the machine (fleet/command_token.h). The token is raised for that machine alone, in the very message that forgets, to the revision of the leader's newest transaction. It costs no write. While a direct command with a start is open, the forget command waits, since the worker would reject that start. If the revision of the end is unknown because its answer was lost, the leader's token is raised for all, as for unanswered starts. A direct command that a response with a higher token has overtaken is sent again at once. Proofs of absence compare the worker's token with that of the start.

Why it holds: all tokens that this leader used for starts are lower, former leaders' are lower than its first, and a successor's is the revision of a later transaction, since each of this leader's transactions has its fencing token as a precondition. The token of the election, which the other nodes know, is unchanged.

New debug lines name every command with its token, epoch, sequence and route.

--- a/src/controller/command_dispatcher.cc
+++ b/src/controller/command_dispatcher.cc
@@ -76,14 +76,14 @@
     worker = registry_.Find(machine);
     if (term.cancelled() || !IsReachable(worker) || !services_.election->MayAct()) co_return false;
   }
-  const model::FencingToken token = registry_.token();
   // Starts that the commands for cancelled tasks could not wait for.
   const bool starts_remain = command_source_.OmitsStarts(*worker);
   auto commands = command_source_.CommandsFor(*worker, true);
+  const model::FencingToken token = registry_.CommandToken(*worker);
   // There are no commands if a heartbeat has fetched them in the meantime or if they have to wait
   // until the watch cache is current. With a current cache, a worker that does not know our token
   // yet is sent the token even without commands.
-  if (commands.empty() && (worker->agent.token == token || !command_source_.CacheIsCurrent()))
+  if (commands.empty() && (registry_.HasSeenToken(*worker) || !command_source_.CacheIsCurrent()))
     co_return false;
   wire::HttpRequest request{
       .method = "POST",
@@ -99,20 +99,29 @@
   auto response = co_await worker_client_.Call(term, worker->endpoint, std::move(request),
                                                TimeoutS(), false, may_send);
   const bool answered = response && (response->status == kOk || response->status == kConflict);
-  if (answered) OnStatusReport(response->body, token);
+  if (answered) OnStatusReport(response->body);
   fleet::OnDirectCommandFinished(registry_, machine, commands, token, answered || withheld);
-  if (withheld || (answered && starts_remain)) queue_.Request(machine);
+  // A response to a heartbeat with a higher token may have overtaken the command.
+  const bool overtaken =
+      response && response->status == kConflict && IsOvertaken(registry_.Find(machine), token);
+  if (withheld || overtaken || (answered && starts_remain)) queue_.Request(machine);
   co_return true;
 }
 
+bool CommandDispatcher::IsOvertaken(const fleet::Machine* machine,
+                                    model::FencingToken token) const {
+  return machine != nullptr && machine->agent.token > token &&
+         !registry_.IsCommandedByOther(*machine);
+}
+
 double CommandDispatcher::TimeoutS() const {
   return kCommandTimeoutRatio * services_.settings->heartbeat_interval_s;
 }
 
-void CommandDispatcher::OnStatusReport(const std::string& body, model::FencingToken token) {
+void CommandDispatcher::OnStatusReport(const std::string& body) {
   auto report = wire::ReadHeartbeat(body);
   if (!report) return;
-  if (report->token > token) services_.election->OnTokenSeen(report->token);
+  if (report->token > registry_.highest_token()) services_.election->OnTokenSeen(report->token);
   if (registry_.OnHeartbeat(*report, term_->loop().Now(), true)) trigger_.Request();
 }
 
--- a/src/controller/command_dispatcher.h
+++ b/src/controller/command_dispatcher.h
@@ -38,9 +38,10 @@
   static bool IsReachable(const fleet::Machine* machine);
   // Returns the timeout of a direct command in seconds.
   double TimeoutS() const;
-  // Handles the status report in a worker's response. `token` is the token that the command was
-  // sent with.
-  void OnStatusReport(const std::string& body, model::FencingToken token);
+  // Handles the status report in a worker's response.
+  void OnStatusReport(const std::string& body);
+  // True if a machine has seen a higher token of this leader than `token`.
+  bool IsOvertaken(const fleet::Machine* machine, model::FencingToken token) const;
 
   const NodeServices& services_;
   fleet::WorkerRegistry& registry_;
--- a/src/controller/command_source.cc
+++ b/src/controller/command_source.cc
@@ -7,6 +7,7 @@
 
 #include "controller/start_permission.h"
 #include "fleet/reconciliation.h"
+#include "model/task.h"
 
 namespace hallpier::controller {
 namespace {
@@ -15,6 +16,29 @@
 // the state service. Workers wait 4 s for a response.
 constexpr double kMaxPermissionWaitS = 1.5;
 
+const char* NameOf(model::CommandKind kind) {
+  switch (kind) {
+    case model::CommandKind::kRun:
+      return "start";
+    case model::CommandKind::kStop:
+      return "stop";
+    case model::CommandKind::kForget:
+      return "forget";
+  }
+  return "unknown";
+}
+
+void LogCommands(const fleet::Machine& machine, model::FencingToken token, bool direct,
+                 const std::vector<model::WorkerCommand>& commands) {
+  for (const model::WorkerCommand& command : commands) {
+    spdlog::debug(
+        "command: {} task={} attempt={} machine={} token={} epoch={} sequence={} route={}",
+        NameOf(command.kind), model::TaskName(command.task), command.attempt, machine.name,
+        token.value(), machine.agent.epoch.value(), machine.agent.sequence,
+        direct ? "direct" : "heartbeat");
+  }
+}
+
 }  // namespace
 
 void CommandSource::BeginTerm() { term_revision_ = services_.election->token().value(); }
@@ -58,15 +82,17 @@
 }
 
 std::vector<model::WorkerCommand> CommandSource::CommandsFor(fleet::Machine& machine, bool direct) {
-  if (CacheIsCurrent()) {
-    return fleet::Reconcile(
-        registry_, machine, *services_.job_table, direct,
-        [this](const auto& job) { return services_.start_permission->MayStart(job); });
-  }
   // After a pause during an outage, leases are renewed based on the reports of the other nodes
   // while the watch cache can't be confirmed. A cancellation from these reports must still be
   // carried out; it is valid whatever else has been recorded.
-  return fleet::CancellationCommands(machine, *services_.job_table);
+  std::vector<model::WorkerCommand> commands =
+      CacheIsCurrent() ? fleet::Reconcile(registry_, machine, *services_.job_table, direct,
+                                          [this](const auto& job) {
+                                            return services_.start_permission->MayStart(job);
+                                          })
+                       : fleet::CancellationCommands(machine, *services_.job_table);
+  LogCommands(machine, registry_.CommandToken(machine), direct, commands);
+  return commands;
 }
 
 }  // namespace hallpier::controller
--- a/src/controller/round_runner.cc
+++ b/src/controller/round_runner.cc
@@ -74,7 +74,9 @@
   hooks.describe = [this](const jobs::Transaction& transaction) {
     return DescribeFinishedJobs(transaction, *services_.job_table, services_.time_of_day());
   };
-  hooks.on_committed = [this](const jobs::Transaction& transaction) {
+  hooks.on_committed = [this](const jobs::Transaction& transaction, uint64_t revision) {
+    // The fencing token is a precondition of all transactions of a round.
+    components_.registry.OnCommitted(revision);
     RecordFinishedJobs(transaction.writes, *services_.job_table);
   };
   hooks.on_placed = [this](const std::string& machine) {
--- a/src/controller/transaction_committer.cc
+++ b/src/controller/transaction_committer.cc
@@ -85,7 +85,7 @@
 }
 
 void TransactionCommitter::OnCommitted(const jobs::Transaction& transaction, uint64_t revision) {
-  if (hooks_.on_committed) hooks_.on_committed(transaction);
+  if (hooks_.on_committed) hooks_.on_committed(transaction, revision);
   for (const model::KeyWrite& write : transaction.writes) {
     services_.cache->ApplyAheadOfWatch(write.key, write.value, revision);
   }
--- a/src/controller/transaction_committer.h
+++ b/src/controller/transaction_committer.h
@@ -27,8 +27,9 @@
     // Returns log lines before a transaction is sent; they are logged after it is committed. The
     // watch may deliver the changes before the response arrives, so the lines can't be built then.
     std::function<std::vector<std::string>(const jobs::Transaction& transaction)> describe;
-    // Called after a transaction was committed, right before it is applied to the watch cache.
-    std::function<void(const jobs::Transaction& transaction)> on_committed;
+    // Called after a transaction was committed at a revision, right before it is applied to the
+    // watch cache.
+    std::function<void(const jobs::Transaction& transaction, uint64_t revision)> on_committed;
     // Called when new placements on a machine are recorded or may be recorded.
     std::function<void(const std::string& machine)> on_placed;
     // Called when something was not written, so that another round decides on it.
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -41,13 +41,8 @@
   // A direct command with this start got no response and may still be executed at any time.
   bool outcome_unknown = false;
 
-  // True while the worker may still receive the command.
+  // True while the worker may receive the command for the first time.
   bool in_flight() const { return outcome_unknown || open_direct_commands > 0; }
-  // True if the command was sent under the current token to the agent's current epoch. Otherwise
-  // the worker rejects the command, or has discarded it with the previous epoch.
-  bool IssuedUnder(model::FencingToken current_token, model::AgentEpoch current_epoch) const {
-    return token == current_token && agent_epoch == current_epoch;
-  }
 };
 
 // State of a machine's agent and of its lease, taken from the agent's status reports.
@@ -117,6 +112,11 @@
   PerformanceState performance;
   std::map<model::TaskId, ReportedTask> reported_tasks;
   std::map<model::TaskId, SentStart> sent_starts;
+  // The token of the commands to this machine, if it is higher than the leader's token
+  // (WorkerRegistry::CommandToken); and the highest token of the direct commands with starts that
+  // this leader has sent to it. Copies of these may arrive at any time (command_token.h).
+  model::FencingToken command_token;
+  model::FencingToken direct_start_token;
   // Set of images known to be on the machine; indexed by WorkerRegistry::image_index().
   std::vector<bool> images;
 
--- a/src/fleet/placement_proof.h
+++ b/src/fleet/placement_proof.h
@@ -10,13 +10,14 @@
 //      completion counts only if the agent had seen a token of this term;
 //   4. the machine's report does not list the task, and no start command for it can still arrive
 //      (IsProvenAbsent).
-// Pure functions of a machine's state; no I/O.
+// They stay true when copies of executed commands arrive (command_token.h). Pure functions; no I/O.
 #pragma once
 
 #include <cstdint>
 
 #include "fleet/machine.h"
 #include "fleet/stop_requests.h"
+#include "fleet/worker_registry.h"
 #include "jobs/job_table.h"
 #include "model/ids.h"
 #include "model/task.h"
@@ -25,8 +26,8 @@
 
 // True if the task does not run on the machine and no command sent so far can start it there. Does
 // not cover future commands: the caller must ensure that none is sent (see IsStartForbidden).
-// `token`: this leader's current token; it sends no commands under a higher one.
-bool IsProvenAbsent(const Machine& machine, const model::TaskId& task, model::FencingToken token);
+bool IsProvenAbsent(const WorkerRegistry& registry, const Machine& machine,
+                    const model::TaskId& task);
 
 // True if an attempt must not be started on the machine where it is recorded: the machine is to be
 // terminated or reclaimed, a stop of the attempt is requested, or the job is cancelled or unknown.
--- a/src/fleet/reconciliation.cc
+++ b/src/fleet/reconciliation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "fleet/command_token.h"
 #include "fleet/placement_proof.h"
 
 namespace hallpier::fleet {
@@ -10,36 +11,26 @@
 
 using Placements = jobs::JobTable::Placements;
 
-bool MayStillArrive(const SentStart& start, const Machine& machine, model::FencingToken token) {
-  return start.in_flight() && start.IssuedUnder(token, machine.agent.epoch);
-}
-
 // Drops the start commands of tasks that are neither recorded nor reported any more: these commands
 // have had their effect. Keeps those that the worker may still receive.
-void DropSettledStarts(Machine& machine, const Placements& placements, model::FencingToken token) {
+void DropSettledStarts(Machine& machine, const Placements& placements) {
   std::erase_if(machine.sent_starts, [&](const auto& entry) {
     const auto& [task, start] = entry;
     return !placements.contains(task) && !machine.reported_tasks.contains(task) &&
-           !MayStillArrive(start, machine, token);
+           !MayStillExecute(start, machine.agent);
   });
 }
 
 // Returns the command for an attempt that a machine reports although it is not recorded there;
 // std::nullopt if the attempt must be left alone.
-std::optional<model::WorkerCommand> CommandForUnrecorded(const Machine& machine,
+std::optional<model::WorkerCommand> CommandForUnrecorded(const WorkerRegistry& registry,
+                                                         Machine& machine,
                                                          const model::TaskId& task,
-                                                         const ReportedTask& reported,
-                                                         model::FencingToken token) {
+                                                         const ReportedTask& reported) {
   if (reported.phase != model::TaskPhase::kExited) {
     return model::WorkerCommand{model::CommandKind::kStop, task, reported.attempt, 0};
   }
-  // While a start command may still arrive, the agent ignores it only because it still has the
-  // entry of the exited attempt. Once the agent forgets the entry, the command would restart the
-  // attempt.
-  auto sent = machine.sent_starts.find(task);
-  if (sent != machine.sent_starts.end() && MayStillArrive(sent->second, machine, token)) {
-    return std::nullopt;
-  }
+  if (!PrepareForget(registry, machine)) return std::nullopt;
   return model::WorkerCommand{model::CommandKind::kForget, task, reported.attempt, 0};
 }
 
@@ -56,17 +47,6 @@
   return model::WorkerCommand{model::CommandKind::kStop, task, reported.attempt, grace_s};
 }
 
-void RecordSentStart(Machine& machine, const model::TaskId& task, uint64_t attempt,
-                     model::FencingToken token, bool direct) {
-  SentStart& start = machine.sent_starts[task];
-  if (!start.IssuedUnder(token, machine.agent.epoch)) start = {};
-  start.attempt = attempt;
-  start.token = token;
-  start.agent_epoch = machine.agent.epoch;
-  start.sequence = machine.agent.sequence;
-  if (direct) ++start.open_direct_commands;
-}
-
 const ReportedTask* FindReported(const Machine& machine, const model::TaskId& task,
                                  uint64_t attempt) {
   auto reported = machine.reported_tasks.find(task);
@@ -83,8 +63,8 @@
 
 // True if a start command without a response is the only obstacle to a proof of absence.
 bool IsOnlyLostStartBlocking(const Machine& machine, const model::TaskId& task,
-                             const SentStart& start, model::FencingToken token) {
-  return start.outcome_unknown && start.IssuedUnder(token, machine.agent.epoch) &&
+                             const SentStart& start) {
+  return start.outcome_unknown && MayStillExecute(start, machine.agent) &&
          machine.agent.heartbeat_sequence > start.sequence &&
          !machine.reported_tasks.contains(task);
 }
@@ -94,7 +74,7 @@
                    const jobs::JobTable& job_table, const WorkerRegistry& registry) {
   // If the worker has seen a higher token, another leader commands it, and it would reject our
   // command.
-  return machine.agent.token <= registry.token() &&
+  return !registry.IsCommandedByOther(machine) &&
          !IsStartForbidden(machine, task, attempt, job_table, registry.stop_requests());
 }
 
@@ -113,15 +93,14 @@
 std::vector<model::WorkerCommand> Reconcile(WorkerRegistry& registry, Machine& machine,
                                             const jobs::JobTable& job_table, bool direct,
                                             const StartFilter& may_start) {
-  const model::FencingToken token = registry.token();
   const StopRequests& stop_requests = registry.stop_requests();
   const Placements& placements = job_table.PlacementsOn(machine.name);
   std::vector<model::WorkerCommand> commands;
-  DropSettledStarts(machine, placements, token);
+  DropSettledStarts(machine, placements);
   for (const auto& [task, reported] : machine.reported_tasks) {
     auto recorded = placements.find(task);
     if (recorded != placements.end() && recorded->second == reported.attempt) continue;
-    auto command = CommandForUnrecorded(machine, task, reported, token);
+    auto command = CommandForUnrecorded(registry, machine, task, reported);
     if (command) commands.push_back(*command);
   }
   for (const auto& [task, attempt] : placements) {
@@ -134,7 +113,7 @@
     if (!IsStartWanted(machine, task, attempt, job_table, registry)) continue;
     if (may_start && !may_start(task.job)) continue;
     commands.push_back({model::CommandKind::kRun, task, attempt, 0});
-    RecordSentStart(machine, task, attempt, token, direct);
+    RecordSentStart(registry, machine, task, attempt, direct);
   }
   return commands;
 }
@@ -176,16 +155,16 @@
   if (FindReported(*machine, task, attempt) != nullptr) return false;
   auto sent = machine->sent_starts.find(task);
   return sent == machine->sent_starts.end() || sent->second.attempt != attempt ||
-         !sent->second.IssuedUnder(registry.token(), machine->agent.epoch);
+         sent->second.token < registry.token() || sent->second.agent_epoch != machine->agent.epoch;
 }
 
 bool NeedsHigherToken(const WorkerRegistry& registry, const jobs::JobTable& job_table) {
-  const model::FencingToken token = registry.token();
   for (const auto& [name, machine] : registry.machines()) {
-    if (machine.agent.token != token || machine.cloud.terminating) continue;
+    if (!registry.HasSeenToken(machine) || machine.cloud.terminating) continue;
     const Placements& placements = job_table.PlacementsOn(name);
+    if (IsForgetBlocked(registry, machine, placements)) return true;
     for (const auto& [task, start] : machine.sent_starts) {
-      if (!IsOnlyLostStartBlocking(machine, task, start, token)) continue;
+      if (!IsOnlyLostStartBlocking(machine, task, start)) continue;
       auto recorded = placements.find(task);
       if (recorded != placements.end() &&
           IsStartForbidden(machine, task, recorded->second, job_table, registry.stop_requests())) {
--- a/src/fleet/reconciliation.h
+++ b/src/fleet/reconciliation.h
@@ -44,13 +44,14 @@
                              model::FencingToken token, bool responded);
 
 // True if a machine does not report an attempt that is recorded on it, and no start command for the
-// attempt has been sent to the agent's current epoch under our token. False if the machine has
-// never reported.
+// attempt has been sent to the agent's current epoch under the leader's token or a higher one.
+// False if the machine has never reported.
 bool IsStartDue(const WorkerRegistry& registry, const std::string& machine_name,
                 const model::TaskId& task, uint64_t attempt);
 
-// True if an attempt that must not be started cannot be proven absent because a start command for
-// it got no response: only a higher token makes the worker reject the command.
+// True if only a higher token of the leader helps: an attempt that must not be started cannot be
+// proven absent because a start command for it got no response, or an exited attempt can't be
+// forgotten (IsForgetBlocked).
 bool NeedsHigherToken(const WorkerRegistry& registry, const jobs::JobTable& job_table);
 
 }  // namespace hallpier::fleet
--- a/src/fleet/response_acknowledgement.cc
+++ b/src/fleet/response_acknowledgement.cc
@@ -30,7 +30,7 @@
 void CheckAcknowledgement(Machine& machine, const model::Heartbeat& report,
                           model::FencingToken token, double lease_s, double now) {
   ResponseState& responses = machine.responses;
-  if (!machine.has_reported() || responses.token != token) return;
+  if (!machine.has_reported() || responses.token < token) return;
   if (report.agent_epoch > responses.agent_epoch) {
     // The agent's lease has expired, since an epoch ends with the lease. If we responded within
     // that lease, the response had no effect.
@@ -39,15 +39,18 @@
     if (responded_in_time) CountUnacknowledged(responses, kMinLostResponses, now);
     return;
   }
-  const bool effect_expected = machine.agent.token < token || !responses.expected_starts.empty();
+  const bool effect_expected =
+      machine.agent.token < responses.token || !responses.expected_starts.empty();
   if (!effect_expected) return;
   const bool acknowledged =
-      report.token >= token &&
+      report.token >= responses.token &&
       std::all_of(responses.expected_starts.begin(), responses.expected_starts.end(),
                   [&](const model::TaskId& task) { return ListsTask(report, task); });
+  // The agent drops a response that a direct command under a higher token has overtaken.
+  const bool overtaken = report.token > responses.token;
   if (acknowledged) {
     responses.unacknowledged = 0;
-  } else {
+  } else if (!overtaken) {
     CountUnacknowledged(responses, 1, now);
   }
 }
--- a/src/fleet/response_acknowledgement.h
+++ b/src/fleet/response_acknowledgement.h
@@ -17,13 +17,13 @@
 inline constexpr int kMinUnacknowledgedToExclude = 2;
 
 // Checks whether a heartbeat acknowledges the response to the previous heartbeat. Must be called
-// before the machine's state is updated from the heartbeat. `token`: this leader's token.
-// `lease_s`: duration of an agent's lease in seconds.
+// before the machine's state is updated from the heartbeat. `token`: this leader's token; responses
+// under a lower one don't count. `lease_s`: duration of an agent's lease in seconds.
 void CheckAcknowledgement(Machine& machine, const model::Heartbeat& report,
                           model::FencingToken token, double lease_s, double now);
 
 // Stores the effect that the response to the machine's newest heartbeat should have. `commands`:
-// those in the response.
+// those in the response. `token`: the token of the response.
 void ExpectAcknowledgement(Machine& machine, const std::vector<model::WorkerCommand>& commands,
                            model::FencingToken token);
 
--- a/src/fleet/task_outcomes.cc
+++ b/src/fleet/task_outcomes.cc
@@ -75,7 +75,7 @@
   bool IsProvenNeverStarted(const Placement& placement, const Machine& machine) const {
     return IsStartForbidden(machine, placement.task, placement.attempt, job_table_,
                             registry_.stop_requests()) &&
-           IsProvenAbsent(machine, placement.task, registry_.token());
+           IsProvenAbsent(registry_, machine, placement.task);
   }
 
   std::optional<jobs::TaskTransition> OutcomeOfExit(const Placement& placement,
--- a/src/fleet/worker_registry.cc
+++ b/src/fleet/worker_registry.cc
@@ -137,18 +137,30 @@
 void WorkerRegistry::BeginTerm(model::FencingToken token, double now,
                                double former_leader_deadline) {
   token_ = token;
+  highest_token_ = token;
   first_token_of_term_ = token;
   term_start_ = now;
   former_leader_deadline_ = former_leader_deadline;
   confirmed_terminations_.clear();
   for (auto& [name, machine] : machines_) {
     machine.sent_starts.clear();
+    machine.command_token = {};
+    machine.direct_start_token = {};
     // Tasks that started in an earlier term of ours have since been observed by other leaders. This
     // leader does not know their run times, and would count healthy machines as slow.
     for (auto& [task, reported] : machine.reported_tasks) reported.start_observed = false;
   }
 }
 
+void WorkerRegistry::SetToken(model::FencingToken token) {
+  token_ = token;
+  highest_token_ = std::max(highest_token_, token);
+}
+
+void WorkerRegistry::OnCommitted(uint64_t revision) {
+  highest_token_ = std::max(highest_token_, model::FencingToken(revision));
+}
+
 Machine* WorkerRegistry::Find(const std::string& name) {
   auto entry = index_.find(name);
   return entry == index_.end() ? nullptr : entry->second;
@@ -189,6 +201,9 @@
   const bool agent_changed = IsAgentChanged(report, machine);
   UpdateIdentity(machine, report);
   UpdateAgent(machine.agent, report, now, direct);
+  if (HasSeenToken(machine)) {
+    machine.command_token = std::max(machine.command_token, machine.agent.token);
+  }
   machine.cloud.booting = false;
   const bool notice_changed = UpdateSpotNotice(machine, report, now);
   const ReportedTasks before = machine.reported_tasks;
@@ -255,7 +270,7 @@
     return;
   }
   agent.last_response = now;
-  ExpectAcknowledgement(*machine, commands, token_);
+  ExpectAcknowledgement(*machine, commands, CommandToken(*machine));
 }
 
 void WorkerRegistry::OnCloudList(const std::vector<model::CloudMachine>& listed,
@@ -422,8 +437,7 @@
 bool WorkerRegistry::AcceptsTasks(const Machine& machine, double now) const {
   if (!machine.has_reported() || machine.cloud.terminating || machine.HasSpotNotice()) return false;
   if (IsSlow(machine) || failure_tracker_.IsQuarantined(machine.name, now)) return false;
-  // Another leader commands this machine.
-  if (machine.agent.token > token_) return false;
+  if (IsCommandedByOther(machine)) return false;
   if (machine.responses.unacknowledged >= kMinUnacknowledgedToExclude) return false;
   // Only heartbeats renew the lease. A machine that responds to direct commands but whose
   // heartbeats reach no controller is about to lose all its tasks.
--- a/src/fleet/worker_registry.h
+++ b/src/fleet/worker_registry.h
@@ -11,6 +11,7 @@
 // the event loop's thread. Does no I/O; all times are passed in, in seconds of the steady clock.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -61,9 +62,27 @@
   // `former_leader_deadline`: time after which no earlier leader responds to workers.
   void BeginTerm(model::FencingToken token, double now, double former_leader_deadline);
   // Replaces the leader's token by a higher one within the term.
-  void SetToken(model::FencingToken token) { token_ = token; }
+  void SetToken(model::FencingToken token);
+  // Called when this leader has committed a transaction under the precondition that its token is
+  // unchanged. Commands to single machines may use the transaction's revision as their token.
+  void OnCommitted(uint64_t revision);
   model::FencingToken token() const { return token_; }
   model::FencingToken first_token_of_term() const { return first_token_of_term_; }
+  // The highest token that this leader may use. An agent that has seen a higher one is commanded by
+  // another leader.
+  model::FencingToken highest_token() const { return highest_token_; }
+  // Returns the token of the next command or response to a machine.
+  model::FencingToken CommandToken(const Machine& machine) const {
+    return std::max(token_, machine.command_token);
+  }
+  // True if the machine's agent has seen the leader's token, or a higher one of this leader.
+  bool HasSeenToken(const Machine& machine) const {
+    return token_.is_set() && machine.agent.token >= token_ && !IsCommandedByOther(machine);
+  }
+  // True if the machine's agent has seen the token of another leader that came later.
+  bool IsCommandedByOther(const Machine& machine) const {
+    return machine.agent.token > highest_token_;
+  }
 
   // Processes a status report. `direct`: the report is the response to a direct command, which
   // renews no lease and acknowledges no heartbeat response. A report that is not newer than the
@@ -148,6 +167,7 @@
 
   const Options options_;
   model::FencingToken token_;
+  model::FencingToken highest_token_;
   model::FencingToken first_token_of_term_;
   double term_start_ = 0;
   double former_leader_deadline_ = 0;
--- a/tests/simulation/blocks_cluster_rounds.cc
+++ b/tests/simulation/blocks_cluster_rounds.cc
@@ -225,7 +225,7 @@
   SimulatedWorkers::DirectCommand command;
   command.machine = machine;
   command.commands = fleet::Reconcile(*leader.registry, *worker, leader.job_table, true);
-  command.token = leader.token;
+  command.token = leader.registry->CommandToken(*worker);
   command.agent_epoch = worker->agent.epoch;
   At(options_.delay_s,
      [this, command, name = leader.name, generation = leader.process->generation()] {
@@ -271,7 +271,8 @@
     commands = fleet::Reconcile(*leader.registry, *machine, leader.job_table, false);
   }
   leader.registry->OnResponseSent(heartbeat, commands, now());
-  At(options_.delay_s, [this, heartbeat, token = leader.token, commands, sent] {
+  const model::FencingToken token = leader.registry->CommandToken(*machine);
+  At(options_.delay_s, [this, heartbeat, token, commands, sent] {
     workers_.OnAnswer(heartbeat, token, commands, sent);
   });
 }
--- a/tests/simulation/blocks_cluster_transactions.cc
+++ b/tests/simulation/blocks_cluster_transactions.cc
@@ -168,6 +168,7 @@
                                         const std::vector<std::string>& failed) {
   Node& node = NodeOf(name);
   if (failed.empty()) {
+    if (node.is_leader) node.registry->OnCommitted(revision);
     for (const model::KeyWrite& write : transaction.writes) {
       if (revision > node.revision) ApplyRecord(node, write.key, write.value, revision);
     }
