Copies of a write of machine types no longer restore an older list

What callers would see: with the machine types of an older list in the state service, every node accepts and rejects jobs by it until the leader's next refresh; a job of a type that the cloud has added since gets 422.

Cause: RecordMachineTypes writes under the fencing token alone. Every other transaction also has the version of each key that it writes as a precondition, so that a copy, executed and answered before or not, fails.

Change: the version of the page is a precondition. After a conflict the page is read, and the next refresh, which is due at once, compares it again.

--- a/src/controller/scaling_loop.cc
+++ b/src/controller/scaling_loop.cc
@@ -122,10 +122,15 @@
     const std::string key = store::MachineTypesKey(page);
     const std::string value = page < page_count ? pages[page] : std::string();
     std::vector<model::Precondition> preconditions = {
-        store::FencingTokenPrecondition(services_.election->token())};
+        store::FencingTokenPrecondition(services_.election->token()),
+        {key, services_.cache->Version(key)}};
     std::vector<model::KeyWrite> writes = {{key, value, 0}};
     auto result = co_await services_.client->Commit(std::move(preconditions), std::move(writes));
     if (term.cancelled()) co_return;
+    if (result.status == store::Status::kConflict) {
+      (void)co_await services_.cache->Refresh(key);
+      if (term.cancelled()) co_return;
+    }
     written = result.ok();
     if (result.ok()) services_.cache->ApplyAheadOfWatch(key, value, result.value.revision);
     // A write that was rejected as invalid would fail again, so it waits for the next regular
--- a/tests/fakes/fake_state_service.cc
+++ b/tests/fakes/fake_state_service.cc
@@ -184,7 +184,11 @@
     async::Sleep pause(scope_, delay_s_);
     co_await pause;
   }
-  if (lose_count_ == 0 || !WritesPrefix(body, lose_prefix_)) co_return Commit(body);
+  if (lose_count_ == 0 || !WritesPrefix(body, lose_prefix_)) {
+    wire::HttpResponse answer = Commit(body);
+    if (copy_delay_s_ > 0 && answer.status == kOk) scope_.Spawn(DeliverCopy(std::move(body)));
+    co_return answer;
+  }
   --lose_count_;
   ++lost_answers_;
   if (lost_answer_execution_ == Execution::kImmediate) {
@@ -197,6 +201,19 @@
   co_return Answer(503, "{}");
 }
 
+async::Task<> FakeStateService::DeliverCopy(std::string body) {
+  async::Sleep pause(scope_, copy_delay_s_);
+  co_await pause;
+  if (scope_.cancelled() || outage_) co_return;
+  ++copies_;
+  if (Commit(body).status != kOk) co_return;
+  auto request = wire::ParseObject(body);
+  const wire::JsonValue& writes = (*request)["then"];
+  if (writes.Empty()) co_return;
+  const auto put = wire::GetText(writes[0], "put");
+  executed_copies_.push_back(put ? *put : *wire::GetText(writes[0], "drop"));
+}
+
 int FakeStateService::ExecuteDeferred() {
   int succeeded = 0;
   for (const std::string& body : std::exchange(deferred_, {})) {
--- a/tests/fakes/fake_state_service.h
+++ b/tests/fakes/fake_state_service.h
@@ -58,6 +58,12 @@
     delay_prefix_ = std::move(prefix);
     delay_s_ = delay_s;
   }
+  // Executes each successful transaction once more after `delay_s` seconds, as the network does
+  // with a late copy.
+  void RepeatTransactions(double delay_s) { copy_delay_s_ = delay_s; }
+  int copies() const { return copies_; }
+  // The keys of the first write of each copy whose preconditions held.
+  const std::vector<std::string>& executed_copies() const { return executed_copies_; }
   // Delays the answers of watches by `lag_s` seconds.
   void SetWatchLag(double lag_s) { watch_lag_s_ = lag_s; }
   // Hook that is called after each executed write. `value` is empty if the key was deleted.
@@ -93,6 +99,7 @@
   wire::HttpResponse Commit(const std::string& body);
   void Apply(const wire::JsonValue& writes);
   async::Task<wire::HttpResponse> AnswerTransaction(std::string body);
+  async::Task<> DeliverCopy(std::string body);
   // Returns true if the transaction writes a key with this prefix.
   static bool WritesPrefix(const std::string& body, const std::string& prefix);
   // Returns the error answer if the writes exceed a limit; std::nullopt otherwise.
@@ -124,6 +131,9 @@
   std::vector<std::string> deferred_;
   std::string delay_prefix_;
   double delay_s_ = 0;
+  double copy_delay_s_ = 0;
+  int copies_ = 0;
+  std::vector<std::string> executed_copies_;
   double watch_lag_s_ = 0;
   double write_tokens_ = 0;
   double write_tokens_at_ = 0;
--- a/tests/fakes/fake_worker.cc
+++ b/tests/fakes/fake_worker.cc
@@ -13,7 +13,6 @@
 constexpr double kTicksPerHeartbeat = 20;
 constexpr double kRetriesPerHeartbeat = 3;
 constexpr double kMaxTimeoutS = 4;
-constexpr int kOk = 200;
 
 bool HasStart(const std::string& body) { return body.find("\"run\"") != std::string::npos; }
 
