--- a/src/controller/command_dispatcher.cc
+++ b/src/controller/command_dispatcher.cc
@@ -1,5 +1,7 @@
 #include "controller/command_dispatcher.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <functional>
 #include <optional>
@@ -101,17 +103,21 @@
   const bool answered = response && (response->status == kOk || response->status == kConflict);
   if (answered) OnStatusReport(response->body);
   fleet::OnDirectCommandFinished(registry_, machine, commands, token, answered || withheld);
-  // A response to a heartbeat with a higher token may have overtaken the command.
-  const bool overtaken =
-      response && response->status == kConflict && IsOvertaken(registry_.Find(machine), token);
-  if (withheld || overtaken || (answered && starts_remain)) queue_.Request(machine);
+  if (withheld || (answered && starts_remain) || WasOvertaken(response, machine, token))
+    queue_.Request(machine);
   co_return true;
 }
 
-bool CommandDispatcher::IsOvertaken(const fleet::Machine* machine,
-                                    model::FencingToken token) const {
-  return machine != nullptr && machine->agent.token > token &&
-         !registry_.IsCommandedByOther(*machine);
+bool CommandDispatcher::WasOvertaken(const std::optional<wire::HttpResponse>& response,
+                                     const std::string& machine, model::FencingToken token) const {
+  if (!response || response->status != kConflict) return false;
+  const fleet::Machine* worker = registry_.Find(machine);
+  if (worker == nullptr || worker->agent.token <= token || registry_.IsCommandedByOther(*worker)) {
+    return false;
+  }
+  spdlog::debug("command: rejected machine={} token={} reason=response overtook it", machine,
+                token.value());
+  return true;
 }
 
 double CommandDispatcher::TimeoutS() const {
--- a/src/controller/command_dispatcher.h
+++ b/src/controller/command_dispatcher.h
@@ -2,6 +2,7 @@
 // its coroutines end with the term.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "async/wait.h"
@@ -11,6 +12,7 @@
 #include "controller/round_trigger.h"
 #include "fleet/worker_registry.h"
 #include "net/http_client.h"
+#include "wire/http.h"
 
 namespace hallpier::controller {
 
@@ -40,8 +42,10 @@
   double TimeoutS() const;
   // Handles the status report in a worker's response.
   void OnStatusReport(const std::string& body);
-  // True if a machine has seen a higher token of this leader than `token`.
-  bool IsOvertaken(const fleet::Machine* machine, model::FencingToken token) const;
+  // True if a worker has rejected a command because a response to a heartbeat, under a higher token
+  // of this leader than the command's `token`, arrived first.
+  bool WasOvertaken(const std::optional<wire::HttpResponse>& response, const std::string& machine,
+                    model::FencingToken token) const;
 
   const NodeServices& services_;
   fleet::WorkerRegistry& registry_;
--- a/tests/blocks_cluster_test.cc
+++ b/tests/blocks_cluster_test.cc
@@ -412,6 +412,7 @@
   options.lost_answer_rate = uniform(0, 0.1);
   options.late_rate = uniform(0, 0.1);
   options.watch_lag_s = uniform(0.02, 0.8);
+  options.command_copy_rate = uniform(0, 0.5);
   cluster_.emplace(options);
   for (double end = cluster_->now() + kFaultPhaseS; cluster_->now() < end;) {
     Submit(1, 1 + static_cast<uint32_t>(cluster_->Uniform(0, 4)),
--- a/tests/fakes/fake_cloud.cc
+++ b/tests/fakes/fake_cloud.cc
@@ -46,6 +46,10 @@
   for (auto& [name, worker] : machines_) worker->SetCut(cut);
 }
 
+void FakeCloud::RestartMachines() {
+  for (auto& [name, worker] : machines_) worker->RestartAgent();
+}
+
 int FakeCloud::refused_commands() const {
   int count = 0;
   for (const auto& [name, worker] : machines_) count += worker->refused_commands();
--- a/tests/fakes/fake_cloud.h
+++ b/tests/fakes/fake_cloud.h
@@ -44,6 +44,8 @@
   int RunningWithPrefix(const std::string& prefix) const;
   // Cuts all present machines off from the controllers, or reconnects them.
   void CutMachines(bool cut);
+  // All machines lose their tasks and are back at once, each in a new agent epoch.
+  void RestartMachines();
   // Number of direct commands that machines have refused because they were cut off.
   int refused_commands() const;
   // Sets a hook that is called before each task start.
--- a/tests/fakes/fake_worker.cc
+++ b/tests/fakes/fake_worker.cc
@@ -115,10 +115,13 @@
 }
 
 void FakeWorker::ExpireLease(double now) {
-  if (now - lease_renewed_at_ <= options_.lease_s) return;
+  if (now - lease_renewed_at_ > options_.lease_s) RestartAgent();
+}
+
+void FakeWorker::RestartAgent() {
   tasks_.clear();
   ++agent_epoch_;
-  lease_renewed_at_ = now;
+  lease_renewed_at_ = scope_.loop().Now();
 }
 
 async::Task<> FakeWorker::HeartbeatLoop() {
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -43,6 +43,8 @@
   // Terminates the machine and its tasks. The coroutines unwind later; the object must live until
   // then.
   void End();
+  // Loses all tasks, and begins a new agent epoch.
+  void RestartAgent();
   // While the machine is cut off, it sends no heartbeats and refuses all requests.
   void SetCut(bool cut) { cut_ = cut; }
   // Number of direct commands that were refused because the machine was cut off.
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -234,6 +234,25 @@
       << "a leader record was overwritten while another leader held it";
 }
 
+class LateCopyProcessTest : public ProcessTest {
+ public:
+  LateCopyProcessTest() {
+    failing_tasks_ = 1;
+    command_copy_delays_s_ = {0.3, 1, 3};
+  }
+};
+
+TEST_P(LateCopyProcessTest, CopiesStartNoTaskTwiceAndChangeNoRecord) {
+  SCOPED_TRACE("seed " + std::to_string(GetParam()));
+  StartAll();
+  state_->RepeatTransactions(1);
+  Run(RunWithFaults());
+  EXPECT_EQ(cloud_->duplicate_starts(), 0);
+  EXPECT_EQ(testing::PrintToString(state_->executed_copies()), "{}");
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LateCopyProcessTest, testing::Range(1, 4));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ProcessTest, testing::Range(1, 4));
 
 // Several controllers place tasks at the same time, under heavy submission at all of them.
